--- /dev/null
+++ b/include/sardinelead/flow_placement.h
@@ -0,0 +1,99 @@
+#ifndef SARDINELEAD_FLOW_PLACEMENT_H_
+#define SARDINELEAD_FLOW_PLACEMENT_H_
+
+// Which target of a pool takes a new flow, from what this balancer sees of its
+// own flows alone: how many it has open at a target, how many of them wait for
+// an answer, and which opening packets nobody answered. Targets of the own data
+// centre go first.
+//
+// The loads that it answers, each with a test in tests/flow_placement_test.cc:
+// even flows over targets and slots; targets that turn slow; a target that just
+// started; one that ended without a word; more work in the data centre than its
+// targets' slots; nobody left there; every target silent at once, as when the
+// balancer itself is cut off.
+//
+// No I/O and no clock; not for several threads. Cost of a choice: one pass over
+// the pool's targets.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "sardinelead/types.h"
+
+namespace sardinelead {
+
+struct PlacementSettings {
+  // An opening packet without an answer for this long speaks against the
+  // target. Answers take a round trip to the caller, some milliseconds.
+  Duration answer_deadline = std::chrono::milliseconds(60);
+  // A target that answers nothing is tried with one flow this often.
+  Duration trial_interval = std::chrono::milliseconds(700);
+  // Waiting requests a slot, over the data centre's balancers, at which other
+  // data centres' targets take new flows too.
+  double spill_load = 1.0;
+  // Speed of a target in its warm-up relative to a warm one.
+  double cold_speed = 0.6;
+  // How many open flows a waiting one counts for.
+  double waiting_weight = 4.0;
+};
+
+// One target that may take the flow.
+struct PlacementTarget {
+  std::uint64_t number = 0;
+  std::uint32_t slots = 1;
+  bool is_local = false;  // In the balancer's data centre.
+  bool is_cold = false;
+};
+
+// What a balancer sees of one target.
+struct TargetView {
+  std::uint32_t opening = 0;  // Flows whose opening packet has no answer yet.
+  std::uint32_t open = 0;
+  std::uint32_t waiting = 0;  // Of `open`: with a request that has no answer.
+  // When the oldest opening packet was sent that nothing answered since.
+  std::optional<TimePoint> unanswered_since;
+  std::optional<TimePoint> tried_at;  // While it answers nothing.
+  TimePoint answered_at;              // By whatever flow, last.
+};
+
+class FlowPlacement {
+ public:
+  explicit FlowPlacement(const PlacementSettings& settings)
+      : m_settings(settings) {}
+
+  // Empty where `targets` is, or holds only those in `excluded`. `balancers` is
+  // how many share the data centre's flows.
+  std::optional<std::uint64_t> Choose(
+      const std::vector<PlacementTarget>& targets,
+      const std::vector<std::uint64_t>& excluded, std::size_t balancers,
+      std::uint64_t random, TimePoint now);
+
+  void OnOpening(std::uint64_t target, TimePoint now);
+  // The flow opened at the target. `was_opening` where OnOpening() was called
+  // for it and not taken back.
+  void OnOpened(std::uint64_t target, bool was_opening, TimePoint now);
+  // The opening packet goes elsewhere, or its caller gave up.
+  void OnOpeningEnded(std::uint64_t target);
+  void OnRequest(std::uint64_t target);
+  // The target answered a request, or the request ended otherwise.
+  void OnAnswer(std::uint64_t target, bool is_answered, TimePoint now);
+  void OnClosed(std::uint64_t target);
+  void Forget(std::uint64_t target) { m_views.erase(target); }
+
+  // Whether opening packets to the target go unanswered.
+  bool IsSuspect(std::uint64_t target, TimePoint now) const;
+  const TargetView* Find(std::uint64_t target) const;
+
+ private:
+  double Score(const PlacementTarget& target) const;
+
+  PlacementSettings m_settings;
+  std::unordered_map<std::uint64_t, TargetView> m_views;
+};
+
+}  // namespace sardinelead
+
+#endif  // SARDINELEAD_FLOW_PLACEMENT_H_
--- a/include/sardinelead/http_server.h
+++ b/include/sardinelead/http_server.h
@@ -29,6 +29,10 @@
 #include "sardinelead/error.h"
 #include "sardinelead/types.h"
 
+namespace asio {
+class io_context;
+}  // namespace asio
+
 namespace sardinelead {
 
 enum class HttpMethod : std::uint8_t { kGet, kPost, kPut, kDelete };
@@ -97,12 +101,17 @@
 
   // The endpoint bound; kIo where it cannot be.
   Result<Endpoint> Start();
+  // As Start(), but everything runs on `context`, which one thread runs and
+  // which must outlive the server. Stop() then does not wait.
+  Result<Endpoint> StartOn(asio::io_context* context);
   // Waits until no request is in flight, `grace` at most, then closes all
   // connections. Returns whether none was cut off.
   bool Stop(Duration grace = Duration::zero());
 
  private:
   struct Impl;
+  Result<Endpoint> Open(asio::io_context* context);
+
   std::unique_ptr<Impl> m_impl;
 };
 
--- a/include/sardinelead/journal.h
+++ b/include/sardinelead/journal.h
@@ -81,6 +81,8 @@
   const std::optional<Error>& error() const { return m_error; }  // NOLINT
   // Records since the snapshot.
   std::uint64_t record_count() const { return m_record_count; }  // NOLINT
+  // Bytes since the snapshot.
+  std::uint64_t size_bytes() const { return m_offset + m_buffer.size(); }
 
  private:
   Done Keep(Done done);
--- a/include/sardinelead/log.h
+++ b/include/sardinelead/log.h
@@ -14,6 +14,7 @@
 // The decision core does not log; it returns what happened.
 
 #include <cstdint>
+#include <functional>
 #include <sstream>
 #include <string>
 
@@ -22,12 +23,28 @@
 enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarn, kError };
 const char* Name(LogLevel level);
 
+// Where lines go. Both are called from any thread.
+struct LogSink {
+  std::function<bool(LogLevel level, const char* module)> is_on;
+  std::function<void(LogLevel level, const char* module,
+                     const std::string& line)>
+      write;
+};
+// Before the first line; without a sink nothing is logged.
+void SetLogSink(LogSink sink);
+
 // Starts logging to standard error at kInfo, or as the log4cxx properties in
 // `config_file` say; that file is read again within seconds of a change.
 void StartLogging(const std::string& config_file);
 // Reads the file named to StartLogging again now.
 void ReloadLogging();
 
+// Starts logging to standard output from `minimum` on, without ever waiting for
+// its reader: a line that does not fit is left out, and so are lines of one
+// event beyond a rate (see LogBudget). The next line that is written says how
+// many were left out.
+void StartStdoutLogging(LogLevel minimum);
+
 // One line, written when it goes out of scope. Costs one level check where
 // the module's level is higher.
 class Log {
--- a/include/sardinelead/message.h
+++ b/include/sardinelead/message.h
@@ -22,6 +22,7 @@
   kTargets = 3,      // Announcements, health and load of targets.
   kConfigOffer = 4,  // Newest configuration version and pulls of it.
   kAgreement = 5,    // The configuration service's replicas among themselves.
+  kFeed = 6,         // Targets and routes, from control VMs to balancers.
 };
 const char* Name(MessageKind kind);
 
--- a/include/sardinelead/replica.h
+++ b/include/sardinelead/replica.h
@@ -54,8 +54,15 @@
   Duration help_delay = std::chrono::milliseconds(200);
   Duration back_off_base = std::chrono::milliseconds(10);
   Duration back_off_cap = std::chrono::milliseconds(320);
-  // Records in the journal before it is compacted.
+  // Records and bytes in the journal before it is compacted.
   std::uint64_t compact_after = 8192;
+  std::uint64_t compact_after_bytes = 4 << 20;
+  // Whether a replica that is no member joins without an operator's change. It
+  // takes the place of a member that was silent for `replace_after`, if any.
+  bool open_membership = false;
+  Duration replace_after = std::chrono::seconds(8);
+  // Members that must have joined before documents are accepted.
+  std::size_t min_members = 1;
 };
 
 struct ReplicaHooks {
@@ -70,6 +77,14 @@
   NodeId add;
 };
 
+// A whole configuration in the form of the one who wrote it, beside the one
+// that patches change. The highest version that was submitted stands; a lower
+// one, or the same again, is accepted and changes nothing.
+struct Document {
+  ConfigVersion version;
+  std::shared_ptr<const Bytes> content = std::make_shared<const Bytes>();
+};
+
 enum class OutcomeKind {
   kAccepted,
   kRefused,  // Nothing ran, and nothing ever will for this id.
@@ -145,6 +160,17 @@
                        const ReplicaChange& change, TimePoint deadline,
                        TimePoint now);
 
+  // Accepted documents are answered with the document's own version.
+  ReplicaOutput Submit(std::uint64_t request_id, const Document& document,
+                       TimePoint deadline, TimePoint now);
+  // Answered `kAccepted` once this replica's state is at least as new as every
+  // change that was answered before the call, so that a read of document() then
+  // cannot be stale; `kUnknown` where no quorum confirms that in time.
+  ReplicaOutput ConfirmRead(std::uint64_t request_id, TimePoint deadline,
+                            TimePoint now);
+  // Replaces the contacts of the settings.
+  void SetContacts(const std::vector<NodeId>& contacts);
+
   // `from` is the sender that the transport authenticated.
   ReplicaOutput OnMessage(NodeId from, ByteView body, TimePoint now);
   // To be called every 10 ms or so.
@@ -155,6 +181,7 @@
 
   // Reads of this replica's state, which may be stale: see ReplicaStatus.
   ConfigurationPtr configuration() const;
+  const Document& document() const;
   ReplicaStatus Status(TimePoint now) const;
   // The outcome decided for an operator's patch id, where it is remembered.
   std::optional<Outcome> FindOutcome(const std::string& operator_name,
--- a/include/sardinelead/types.h
+++ b/include/sardinelead/types.h
@@ -94,6 +94,10 @@
   }
 };
 
+struct EndpointHash {
+  std::size_t operator()(const Endpoint& endpoint) const;
+};
+
 enum class Protocol : std::uint8_t { kTcp = 6, kUdp = 17 };
 const char* Name(Protocol protocol);
 std::optional<Protocol> ParseProtocol(std::string_view text);
--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -102,7 +102,8 @@
     case MessageKind::kConfigOffer:
       return m_config.OnMessage(from, body, now);
     case MessageKind::kAgreement:
-      return {};  // Only control VMs take part.
+    case MessageKind::kFeed:
+      return {};  // Only control VMs and cookie balancers take part.
   }
   return {};
 }
--- a/src/config.cc
+++ b/src/config.cc
@@ -30,12 +30,8 @@
 
 std::size_t ServiceAddressHash::operator()(
     const ServiceAddress& address) const {
-  const auto* bytes =
-      reinterpret_cast<const char*>(address.address.address.bytes.data());
-  const std::uint64_t port = address.address.port;
-  const auto protocol = static_cast<std::uint64_t>(address.protocol);
-  return HashText({bytes, address.address.address.bytes.size()},
-                  port << 8 | protocol);
+  return HashCombine(EndpointHash()(address.address),
+                     static_cast<std::uint64_t>(address.protocol));
 }
 
 Configuration::Configuration(const Configuration& other)
--- /dev/null
+++ b/src/control_plane.cc
@@ -0,0 +1,141 @@
+#include "control_plane.h"
+
+#include <utility>
+
+namespace sardinelead {
+
+ControlPlane::ControlPlane(ControlPlaneSettings settings, Hooks hooks)
+    : m_settings(std::move(settings)),
+      m_hooks(std::move(hooks)),
+      m_publisher(m_settings.feed, m_settings.epoch, &m_directory,
+                  {[this] {
+                     std::vector<NodeId> members;
+                     const auto status = m_replica->Status(TimePoint{});
+                     for (const auto& [id, joined] : status.members) {
+                       members.push_back(id);
+                     }
+                     return members;
+                   },
+                   [this] { return m_routes; }}) {
+  m_routes.bytes = std::make_shared<const Bytes>();
+}
+
+Result<void> ControlPlane::Start(TimePoint now) { return StartReplica(now); }
+
+Result<void> ControlPlane::StartReplica(TimePoint now) {
+  m_replica.reset();
+  m_journal = std::make_unique<Journal>(m_hooks.open_files());
+  m_replica = std::make_unique<Replica>(m_settings.replica, m_journal.get(),
+                                        ReplicaHooks{m_hooks.random});
+  auto output = m_replica->Start(now);
+  if (!output) return tl::unexpected<Error>(output.error());
+  Dispatch(std::move(*output), now);
+  return {};
+}
+
+void ControlPlane::OnMessage(NodeId from, MessageKind kind, ByteView body,
+                             TimePoint now) {
+  if (kind == MessageKind::kAgreement) {
+    Dispatch(m_replica->OnMessage(from, body, now), now);
+  }
+  if (kind == MessageKind::kFeed) {
+    m_hooks.send(m_publisher.OnMessage(from, body, now));
+  }
+}
+
+void ControlPlane::OnTick(TimePoint now) {
+  if (m_restart_at && now >= *m_restart_at) {
+    const auto started = StartReplica(now);
+    if (!started) {
+      m_hooks.on_error(started.error());
+      m_restart_at = now + m_settings.restart_interval;
+    } else {
+      m_restart_at.reset();
+    }
+  }
+  Dispatch(m_replica->OnTick(now), now);
+  Flush(now);
+  const ReplicaRole role = m_replica->Status(now).role;
+  if (role != m_role) {
+    m_role = role;
+    m_hooks.on_role(role);
+  }
+  const bool must_restart = role == ReplicaRole::kFaulty && !m_restart_at;
+  if (must_restart) m_restart_at = now + m_settings.restart_interval;
+  m_directory.Forget(m_settings.target_memory, now);
+  m_hooks.send(m_publisher.OnTick(now));
+}
+
+void ControlPlane::SetContacts(const std::vector<NodeId>& contacts) {
+  m_settings.replica.contacts = contacts;
+  m_replica->SetContacts(contacts);
+}
+
+void ControlPlane::Flush(TimePoint now) {
+  while (m_replica->NeedsSync()) Dispatch(m_replica->Sync(now), now);
+}
+
+// Sends what came out and answers who waited.
+void ControlPlane::Dispatch(ReplicaOutput output, TimePoint now) {
+  m_hooks.send(std::move(output.messages));
+  TakeRoutes(now);
+  for (const Answer& answer : output.answers) {
+    const auto found = m_pending.find(answer.request_id);
+    if (found == m_pending.end()) continue;
+    const OnOutcome on_outcome = std::move(found->second);
+    m_pending.erase(found);
+    on_outcome(answer.outcome);
+  }
+}
+
+void ControlPlane::TakeRoutes(TimePoint now) {
+  const Document& document = m_replica->document();
+  if (!(m_routes.version < document.version)) return;
+  const auto routes = m_hooks.read_routes(document);
+  m_routes.version = document.version;
+  if (!routes) {
+    m_hooks.on_error(routes.error());
+    return;
+  }
+  m_routes.bytes = std::make_shared<const Bytes>(EncodeRouteTable(*routes));
+  m_hooks.on_routes(*routes);
+  m_hooks.send(m_publisher.OnTick(now));
+}
+
+bool ControlPlane::HasQuorum(TimePoint now) const {
+  const ReplicaStatus status = m_replica->Status(now);
+  return status.role == ReplicaRole::kVoting &&
+         status.staleness <= m_settings.quorum_silence;
+}
+
+void ControlPlane::Submit(const Document& document, OnOutcome on_outcome,
+                          TimePoint now) {
+  const bool is_overtaken = !(m_replica->document().version < document.version);
+  if (!is_overtaken && !HasQuorum(now)) {
+    return on_outcome(
+        {OutcomeKind::kUnknown,
+         m_replica->document().version,
+         {ErrorCode::kUnavailable, "no quorum of replicas is heard", ""}});
+  }
+  const std::uint64_t id = ++m_last_request;
+  m_pending[id] = std::move(on_outcome);
+  Dispatch(
+      m_replica->Submit(id, document, now + m_settings.answer_deadline, now),
+      now);
+  Flush(now);
+}
+
+void ControlPlane::ConfirmRead(OnOutcome on_outcome, TimePoint now) {
+  const std::uint64_t id = ++m_last_request;
+  m_pending[id] = std::move(on_outcome);
+  Dispatch(m_replica->ConfirmRead(id, now + m_settings.answer_deadline, now),
+           now);
+}
+
+NewsEffect ControlPlane::Take(const TargetNews& news, TimePoint now) {
+  const NewsEffect effect = m_directory.Take(news, now);
+  if (effect == NewsEffect::kChanged) m_hooks.send(m_publisher.OnTick(now));
+  return effect;
+}
+
+}  // namespace sardinelead
--- /dev/null
+++ b/src/feed_message.cc
@@ -0,0 +1,146 @@
+#include "feed_message.h"
+
+#include <utility>
+
+#include "cbor.h"
+
+namespace sardinelead {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+std::uint64_t ToMs(Duration duration) {
+  const auto ms = std::chrono::duration_cast<milliseconds>(duration).count();
+  return ms < 0 ? 0 : static_cast<std::uint64_t>(ms);
+}
+
+std::uint64_t TypeNumber(FeedType type) {
+  return static_cast<std::uint64_t>(type);
+}
+
+json ToJson(const ReportedTarget& target) {
+  const TargetNews& news = target.news;
+  return json::array({news.number, news.started_ms, news.sequence,
+                      static_cast<std::uint64_t>(news.state), news.pool,
+                      std::uint64_t{news.address.address.ToV4()},
+                      std::uint64_t{news.address.port}, news.data_centre,
+                      std::uint64_t{news.slots}, ToMs(news.warm_up_left),
+                      ToMs(target.silent)});
+}
+
+bool ReadTarget(const json& item, ReportedTarget* target) {
+  CborArrayReader fields(item);
+  TargetNews& news = target->news;
+  news.number = fields.Number();
+  news.started_ms = fields.Number();
+  news.sequence = fields.Number();
+  const std::uint64_t state = fields.Number();
+  news.pool = fields.Text();
+  const auto address = static_cast<std::uint32_t>(fields.Number());
+  const auto port = static_cast<std::uint16_t>(fields.Number());
+  news.address = {IpAddress::FromV4(address), port};
+  news.data_centre = fields.Text();
+  news.slots = static_cast<std::uint32_t>(fields.Number());
+  news.warm_up_left = milliseconds(fields.Number());
+  target->silent = milliseconds(fields.Number());
+  const bool is_state =
+      state <= static_cast<std::uint64_t>(AnnouncedState::kEnded);
+  news.state =
+      is_state ? static_cast<AnnouncedState>(state) : AnnouncedState::kEnded;
+  return fields.ok() && is_state && news.slots > 0;
+}
+
+tl::unexpected<Error> Unreadable(const char* what) {
+  return Fail(ErrorCode::kMalformed, std::string(what) + " cannot be read",
+              "feed");
+}
+
+Result<FeedMessage> DecodePoll(CborArrayReader* reader) {
+  FeedPoll poll;
+  poll.epoch = reader->Number();
+  poll.revision = reader->Number();
+  poll.version = ConfigVersion{reader->Number()};
+  poll.wants_routes = reader->Number() != 0;
+  poll.data_centre = reader->Text();
+  if (!reader->ok()) return Unreadable("a poll");
+  return poll;
+}
+
+Result<FeedMessage> DecodeReport(CborArrayReader* reader) {
+  FeedReport report;
+  report.epoch = reader->Number();
+  report.revision = reader->Number();
+  report.base = reader->Number();
+  report.version = ConfigVersion{reader->Number()};
+  report.data_centre = reader->Text();
+  report.balancers = reader->Number();
+  for (const json& member : reader->Array()) {
+    if (!member.is_number_unsigned()) return Unreadable("a member");
+    report.members.push_back(NodeId{member.get<std::uint32_t>()});
+  }
+  for (const json& item : reader->Array()) {
+    ReportedTarget target;
+    if (!ReadTarget(item, &target)) return Unreadable("a target");
+    report.changed.push_back(std::move(target));
+  }
+  for (const json& item : reader->Array()) {
+    CborArrayReader fields(item);
+    LivingTarget living;
+    living.cookie = static_cast<std::uint32_t>(fields.Number());
+    living.silent = milliseconds(fields.Number());
+    if (!fields.ok()) return Unreadable("a living target");
+    report.living.push_back(living);
+  }
+  if (!reader->ok()) return Unreadable("a report");
+  return report;
+}
+
+}  // namespace
+
+Bytes FeedPoll::Encode() const {
+  return ToCbor(
+      json::array({TypeNumber(FeedType::kPoll), epoch, revision, version.value,
+                   std::uint64_t{wants_routes ? 1U : 0U}, data_centre}));
+}
+
+Bytes FeedReport::Encode() const {
+  json member_list = json::array();
+  for (const NodeId member : members) member_list.push_back(member.value);
+  json changed_list = json::array();
+  for (const ReportedTarget& target : changed) {
+    changed_list.push_back(ToJson(target));
+  }
+  json living_list = json::array();
+  for (const LivingTarget& target : living) {
+    living_list.push_back(
+        json::array({std::uint64_t{target.cookie}, ToMs(target.silent)}));
+  }
+  return ToCbor(json::array({TypeNumber(FeedType::kReport), epoch, revision,
+                             base, version.value, data_centre, balancers,
+                             std::move(member_list), std::move(changed_list),
+                             std::move(living_list)}));
+}
+
+Bytes FeedRoutes::Encode() const {
+  return ToCbor(json::array({TypeNumber(FeedType::kRoutes), Binary(table)}));
+}
+
+Result<FeedMessage> DecodeFeedMessage(ByteView body) {
+  const json root = FromCbor(body);
+  CborArrayReader reader(root);
+  switch (static_cast<FeedType>(reader.Number())) {
+    case FeedType::kPoll:
+      return DecodePoll(&reader);
+    case FeedType::kReport:
+      return DecodeReport(&reader);
+    case FeedType::kRoutes: {
+      FeedRoutes routes{reader.Blob()};
+      if (!reader.ok()) return Unreadable("routes");
+      return routes;
+    }
+  }
+  return Unreadable("a message");
+}
+
+}  // namespace sardinelead
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -242,6 +242,7 @@
   std::unique_ptr<Router> router = std::make_unique<Router>();
   std::shared_ptr<InFlight> in_flight = std::make_shared<InFlight>();
   RunningServer server;
+  std::unique_ptr<restinio::http_server_t<Traits>> server_on_context;
 };
 
 HttpServer::HttpServer(const HttpServerSettings& settings)
@@ -278,7 +279,14 @@
                               std::move(on_request));
 }
 
-Result<Endpoint> HttpServer::Start() {
+Result<Endpoint> HttpServer::Start() { return Open(nullptr); }
+
+Result<Endpoint> HttpServer::StartOn(asio::io_context* context) {
+  return Open(context);
+}
+
+// On `context`, or on threads of its own where it is null.
+Result<Endpoint> HttpServer::Open(asio::io_context* context) {
   Impl& impl = *m_impl;
   impl.router->non_matched_request_handler(
       [](const restinio::request_handle_t& raw) {
@@ -310,6 +318,13 @@
       })
       .request_handler(std::move(impl.router));
   try {
+    if (context != nullptr) {
+      impl.server_on_context =
+          std::make_unique<restinio::http_server_t<Traits>>(
+              restinio::external_io_context(*context), std::move(settings));
+      impl.server_on_context->open_sync();
+      return bound;
+    }
     impl.server = restinio::run_async<Traits>(
         restinio::own_io_context(), std::move(settings), impl.settings.threads);
   } catch (const std::exception& error) {
@@ -321,6 +336,11 @@
 }
 
 bool HttpServer::Stop(Duration grace) {
+  if (m_impl->server_on_context != nullptr) {
+    m_impl->server_on_context->close_sync();
+    m_impl->server_on_context.reset();
+    return true;
+  }
   if (m_impl->server == nullptr) return true;
   const bool complete = m_impl->in_flight->WaitForNone(grace);
   m_impl->server->stop();
--- /dev/null
+++ b/src/log_stdout.cc
@@ -0,0 +1,82 @@
+// The sink of programs whose logs are read from standard output.
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <climits>
+#include <ctime>
+#include <mutex>
+#include <string>
+
+#include "log_budget.h"
+#include "sardinelead/log.h"
+
+namespace sardinelead {
+namespace {
+
+// A pipe that is ready takes this much at once or nothing.
+constexpr std::size_t kMaxLineBytes = PIPE_BUF;
+
+TimePoint Now() {
+  return TimePoint(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+std::string TimeText() {
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  tm parts{};
+  gmtime_r(&now.tv_sec, &parts);
+  char text[40];
+  const std::size_t size =
+      std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
+  constexpr long kNanosecondsPerMs = 1'000'000;  // NOLINT: as timespec has it
+  const std::string ms = std::to_string(now.tv_nsec / kNanosecondsPerMs);
+  return std::string(text, size) + "." + std::string(3 - ms.size(), '0') + ms;
+}
+
+bool IsWritable() {
+  pollfd out{STDOUT_FILENO, POLLOUT, 0};
+  return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+}
+
+// The line's first field is "event=NAME".
+std::string EventOf(const std::string& line) {
+  return line.substr(0, line.find(' '));
+}
+
+class StdoutLog {
+ public:
+  void Write(LogLevel level, const char* module, const std::string& line) {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const std::string event = std::string(module) + " " + EventOf(line);
+    if (!m_budget.Take(event, Now())) return;
+    if (!IsWritable()) return m_budget.Lose(event);
+    std::string out = "time=" + TimeText() + " level=" + Name(level) +
+                      " module=" + module + " " + line;
+    const std::uint64_t left_out = m_budget.TakeLeftOut(event);
+    if (left_out > 0) out += " left_out=" + std::to_string(left_out);
+    if (out.size() >= kMaxLineBytes) out.resize(kMaxLineBytes - 1);
+    out += '\n';
+    const ssize_t written = write(STDOUT_FILENO, out.data(), out.size());
+    if (written < 0) m_budget.Lose(event);
+  }
+
+ private:
+  std::mutex m_mutex;
+  LogBudget m_budget{LogBudgetSettings{}};
+};
+
+}  // namespace
+
+void StartStdoutLogging(LogLevel minimum) {
+  static auto* log = new StdoutLog;
+  SetLogSink({[minimum](LogLevel level, const char*) {
+                return static_cast<int>(level) >= static_cast<int>(minimum);
+              },
+              [](LogLevel level, const char* module, const std::string& line) {
+                log->Write(level, module, line);
+              }});
+}
+
+}  // namespace sardinelead
--- a/src/message.cc
+++ b/src/message.cc
@@ -12,6 +12,8 @@
       return "targets";
     case MessageKind::kConfigOffer:
       return "config-offer";
+    case MessageKind::kFeed:
+      return "feed";
     case MessageKind::kAgreement:
       return "agreement";
   }
--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -19,16 +19,19 @@
 constexpr std::uint8_t kVersion = 0x82;
 constexpr std::uint8_t kHelloKind = 0;
 constexpr std::uint8_t kLastKind =
-    static_cast<std::uint8_t>(MessageKind::kAgreement);
+    static_cast<std::uint8_t>(MessageKind::kFeed);
 constexpr std::size_t kHeaderBytes = 28;
 constexpr std::size_t kSealBytes = 16;
 static_assert(kHeaderBytes + kSealBytes == kLinkOverheadBytes);
 
 constexpr std::uint32_t kReplayWindow = 1024;
 constexpr std::size_t kMaxPartials = 4;
+static_assert(kMaxLinkBodyBytes <= 255 * kMaxLinkPartBytes);
 constexpr std::size_t kMaxParts =
     (kMaxLinkBodyBytes + kMaxLinkPartBytes - 1) / kMaxLinkPartBytes;
 constexpr std::size_t kMaxPeers = 4096;
+// Half of the range of the low half; beyond it the peer knows an earlier one.
+constexpr std::uint32_t kMaxIncarnationAhead = 1U << 31;
 constexpr Duration kHelloPeriod = std::chrono::milliseconds(100);
 
 using SealBytes = std::array<std::uint8_t, kSealBytes>;
@@ -89,6 +92,11 @@
   }
 }
 
+void PeerLink::AddPeer(NodeId id, const Endpoint& address) {
+  const bool is_new = m_peers.find(id) == m_peers.end();
+  if (is_new && m_peers.size() < kMaxPeers) m_peers[id].address = address;
+}
+
 Bytes PeerLink::Seal(const Header& header, ByteView body) {
   Bytes out(kHeaderBytes);
   out[0] = kVersion;
@@ -209,7 +217,10 @@
   Peer& peer = m_peers[header.sender];
   if (is_new_peer) peer.address = source;
   if (header.incarnation < peer.incarnation) {
-    return Refuse(LinkRefusal::kOtherIncarnation);
+    // A start whose clock went back: the hello tells it what to be above.
+    LinkInput input = Refuse(LinkRefusal::kOtherIncarnation);
+    input.reply = Hello(header.sender, &peer, now);
+    return input;
   }
   const bool is_new_start = peer.incarnation < header.incarnation;
   if (is_new_start) {
@@ -226,6 +237,7 @@
     // The sender does not know this start yet: a hello tells it. A hello that
     // says so is no fault.
     LinkInput input;
+    RiseAbove(header.receiver_incarnation);
     if (!is_hello) input = Refuse(LinkRefusal::kOtherIncarnation);
     input.reply = Hello(header.sender, &peer, now);
     return input;
@@ -240,6 +252,20 @@
   return input;
 }
 
+// Where a peer knows a later incarnation of this node than this start has, the
+// clock went back in between: goes on above it, so that peers listen again.
+void PeerLink::RiseAbove(std::uint32_t known_low_half) {
+  const std::uint32_t ahead = known_low_half - LowHalf(m_settings.incarnation);
+  const bool is_later =
+      ahead != 0 && ahead <= kMaxIncarnationAhead && known_low_half != 0;
+  if (!is_later) return;
+  m_settings.incarnation.value += ahead + 1;
+  for (auto& [id, peer] : m_peers) {
+    peer.next_sequence = 1;
+    peer.next_hello = TimePoint{};
+  }
+}
+
 bool PeerLink::TakeSequence(Peer* peer, std::uint32_t sequence) {
   if (sequence == 0) return false;
   if (sequence > peer->newest_taken) {
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -9,7 +9,9 @@
 // incarnation and, in short, the receiver's, and carries a number that the
 // receiver takes once. A process that does not know its peer's incarnation
 // yet, or has an old one, is told it by a hello and sends anew with its next
-// message. So a datagram recorded before a restart is worth nothing after it.
+// message. So a datagram recorded before a restart is worth nothing after it. A
+// process that learns that a peer knows a later incarnation of it than its own,
+// as after a step of the clock, rises above that one.
 //
 // The seal is HMAC-SHA256, cut to 16 bytes, over the whole datagram. Nothing is
 // encrypted. Bodies above one datagram are split; a lost part loses the whole.
@@ -31,7 +33,7 @@
 
 constexpr std::size_t kLinkOverheadBytes = 44;
 constexpr std::size_t kMaxLinkPartBytes = 1200;
-constexpr std::size_t kMaxLinkBodyBytes = 61'440;
+constexpr std::size_t kMaxLinkBodyBytes = 300'000;
 
 using LinkKey = std::array<std::uint8_t, 32>;
 
@@ -85,6 +87,10 @@
   std::uint64_t refused(LinkRefusal refusal) const {  // NOLINT
     return m_refused[static_cast<std::size_t>(refusal)];
   }
+  // That of this start: the one of the settings, or a later one.
+  Incarnation incarnation() const { return m_settings.incarnation; }  // NOLINT
+  // Where a peer is that was not heard of yet.
+  void AddPeer(NodeId id, const Endpoint& address);
   std::uint64_t bytes_sent() const { return m_bytes_sent; }  // NOLINT
 
  private:
@@ -115,6 +121,7 @@
                  TimePoint now);
   std::optional<ReceivedMessage> Assemble(const Header& header, Peer* peer,
                                           ByteView body);
+  void RiseAbove(std::uint32_t known_low_half);
   static bool TakeSequence(Peer* peer, std::uint32_t sequence);
 
   PeerLinkSettings m_settings;
--- /dev/null
+++ b/src/peer_port.h
@@ -0,0 +1,42 @@
+#ifndef SARDINELEAD_SRC_PEER_PORT_H_
+#define SARDINELEAD_SRC_PEER_PORT_H_
+
+// Messages to and from the system's other processes over one UDP socket.
+
+#include <asio/io_context.hpp>
+#include <functional>
+
+#include "peer_link.h"
+#include "sardinelead/message.h"
+#include "udp_port.h"
+
+namespace sardinelead {
+
+class PeerPort {
+ public:
+  struct Hooks {
+    std::function<TimePoint()> now;
+    std::function<Endpoint(NodeId peer)> address_of;
+    std::function<void(const ReceivedMessage& message)> on_message;
+    // After the messages that came together.
+    std::function<void()> on_batch_end;
+  };
+
+  PeerPort(asio::io_context* context, PeerLinkSettings settings, Hooks hooks);
+
+  Result<Endpoint> Open(const Endpoint& listen) { return m_port.Open(listen); }
+  void Close() { m_port.Close(); }
+  void Send(const Outbox& messages);
+  const PeerLink& link() const { return m_link; }  // NOLINT
+
+ private:
+  void OnDatagram(ByteView datagram, const Endpoint& source);
+
+  Hooks m_hooks;
+  PeerLink m_link;
+  UdpPort m_port;
+};
+
+}  // namespace sardinelead
+
+#endif  // SARDINELEAD_SRC_PEER_PORT_H_
--- a/src/register_state.cc
+++ b/src/register_state.cc
@@ -13,12 +13,12 @@
 
 constexpr std::size_t kMaxHistory = 1000;
 constexpr std::size_t kMaxHistoryBytes = 4 << 20;
-constexpr std::size_t kMaxMembers = 7;
+constexpr std::size_t kMaxMembers = 15;
 // Outcomes looked at for one that may be forgotten.
 constexpr std::size_t kMaxForgetSteps = 1000;
 constexpr std::uint64_t kNeverForgotten =
     std::numeric_limits<std::uint64_t>::max();
-constexpr std::uint64_t kStateFormat = 1;
+constexpr std::uint64_t kStateFormat = 2;
 
 std::uint64_t ContentHash(const Command& command) {
   const auto* text = reinterpret_cast<const char*>(command.content.data());
@@ -44,6 +44,10 @@
   return outcome;
 }
 
+ConfigVersion DocumentVersion(const Command& command) {
+  return ConfigVersion{std::strtoull(command.id.c_str(), nullptr, 10)};
+}
+
 std::string ReplicaText(NodeId id) {
   return "replica " + std::to_string(id.value);
 }
@@ -72,6 +76,17 @@
           std::to_string(store), ToCbor(content)};
 }
 
+Command MakeAdmitCommand(NodeId replica, std::uint64_t store, NodeId replaced) {
+  const json content = json::array({replica.value, store, replaced.value});
+  return {CommandKind::kAdmit, std::to_string(replica.value),
+          std::to_string(store), ToCbor(content)};
+}
+
+Command MakeDocumentCommand(const Document& document) {
+  return {CommandKind::kDocument, "", std::to_string(document.version.value),
+          *document.content};
+}
+
 Bytes EncodeCommands(const std::vector<Command>& commands) {
   json list = json::array();
   for (const Command& command : commands) {
@@ -94,7 +109,8 @@
     command.operator_name = reader.Text();
     command.id = reader.Text();
     command.content = reader.Blob();
-    const bool is_kind = kind <= static_cast<std::uint64_t>(CommandKind::kJoin);
+    const bool is_kind =
+        kind <= static_cast<std::uint64_t>(CommandKind::kAdmit);
     if (!reader.ok() || !reader.AtEnd() || !is_kind) return std::nullopt;
     commands.push_back(std::move(command));
   }
@@ -117,6 +133,10 @@
   if (!commands) return outcomes;
   for (const Command& command : *commands) {
     const std::string key = OutcomeKey(command);
+    if (command.kind == CommandKind::kDocument) {
+      outcomes.emplace_back(key, JudgeDocument(command));
+      continue;
+    }
     std::optional<Outcome> outcome = FindOutcome(command);
     if (!outcome && !MakeRoom()) {
       outcome = Outcome{OutcomeKind::kUnknown, m_configuration->version,
@@ -139,6 +159,10 @@
 
 std::optional<Outcome> RegisterState::FindOutcome(
     const Command& command) const {
+  if (command.kind == CommandKind::kDocument) {
+    const bool is_overtaken = !(m_document.version < DocumentVersion(command));
+    return is_overtaken ? std::make_optional(Accept()) : std::nullopt;
+  }
   const auto found = m_outcomes.find(OutcomeKey(command));
   if (found != m_outcomes.end()) {
     if (found->second.content_hash == ContentHash(command)) {
@@ -190,13 +214,15 @@
   return store != 0 && found != m_members.end() && found->second == store;
 }
 
-std::size_t RegisterState::Quorum() const {
+std::size_t RegisterState::JoinedCount() const {
   const auto joined =
       std::count_if(m_members.begin(), m_members.end(),
                     [](const auto& member) { return member.second != 0; });
-  return static_cast<std::size_t>(joined) / 2 + 1;
+  return static_cast<std::size_t>(joined);
 }
 
+std::size_t RegisterState::Quorum() const { return JoinedCount() / 2 + 1; }
+
 Outcome RegisterState::Refuse(ErrorCode code, std::string message) const {
   return {OutcomeKind::kRefused, m_configuration->version,
           Error{code, std::move(message), ""}};
@@ -214,6 +240,10 @@
       return JudgeChange(command);
     case CommandKind::kJoin:
       return JudgeJoin(command);
+    case CommandKind::kDocument:
+      return JudgeDocument(command);
+    case CommandKind::kAdmit:
+      return JudgeAdmit(command);
   }
   return Refuse(ErrorCode::kMalformed, "unknown kind of command");
 }
@@ -290,6 +320,34 @@
   return Accept();
 }
 
+Outcome RegisterState::JudgeAdmit(const Command& command) {
+  const json content = FromCbor(command.content);
+  CborArrayReader reader(content);
+  const NodeId replica{static_cast<std::uint32_t>(reader.Number())};
+  const std::uint64_t store = reader.Number();
+  const NodeId replaced{static_cast<std::uint32_t>(reader.Number())};
+  if (!reader.ok() || store == 0 || replica.value == 0) {
+    return Refuse(ErrorCode::kMalformed, "unreadable admission");
+  }
+  // Quorums before and after one change must meet: a member is replaced only
+  // by one that comes in the same step.
+  const bool is_member = m_members.count(replica) != 0;
+  if (!is_member && replaced.value != 0) m_members.erase(replaced);
+  if (!is_member && m_members.size() >= kMaxMembers) {
+    return Refuse(ErrorCode::kLimit, "too many members");
+  }
+  m_members[replica] = store;
+  return Accept();
+}
+
+Outcome RegisterState::JudgeDocument(const Command& command) {
+  const ConfigVersion version = DocumentVersion(command);
+  if (m_document.version < version) {
+    m_document = {version, std::make_shared<const Bytes>(command.content)};
+  }
+  return Accept();
+}
+
 Bytes RegisterState::Encode() const {
   json members = json::array();
   for (const auto& [member, store] : m_members) {
@@ -310,10 +368,10 @@
   }
   const json forgotten =
       m_forgotten_base ? json::array({*m_forgotten_base}) : json::array();
-  return ToCbor(
-      json::array({kStateFormat, m_cluster, m_index, ToJson(*m_configuration),
-                   std::move(members), std::move(outcomes), std::move(history),
-                   forgotten}));
+  return ToCbor(json::array(
+      {kStateFormat, m_cluster, m_index, ToJson(*m_configuration),
+       std::move(members), std::move(outcomes), std::move(history), forgotten,
+       m_document.version.value, Binary(*m_document.content)}));
 }
 
 std::optional<RegisterState> RegisterState::Decode(ByteView bytes) {
@@ -364,6 +422,8 @@
   }
   CborArrayReader forgotten(reader.Array());
   if (!forgotten.AtEnd()) state.m_forgotten_base = forgotten.Number();
+  state.m_document.version = ConfigVersion{reader.Number()};
+  state.m_document.content = std::make_shared<const Bytes>(reader.Blob());
   if (!reader.ok() || !reader.AtEnd() || !is_whole) return std::nullopt;
   return state;
 }
--- a/src/register_state.h
+++ b/src/register_state.h
@@ -20,7 +20,9 @@
 enum class CommandKind : std::uint8_t {
   kPatch = 0,
   kReplicaChange = 1,
-  kJoin = 2,  // A replica's own: names the store that its votes come from.
+  kJoin = 2,      // A replica's own: names the store that its votes come from.
+  kDocument = 3,  // A whole document under a version; the highest one stands.
+  kAdmit = 4,     // As kJoin, of a replica that is no member yet.
 };
 
 struct Command {
@@ -37,6 +39,9 @@
 Command MakeChangeCommand(const std::string& operator_name,
                           const ReplicaChange& change);
 Command MakeJoinCommand(NodeId replica, std::uint64_t store);
+// `replaced` is a member to remove in the same step; NodeId{0} for none.
+Command MakeAdmitCommand(NodeId replica, std::uint64_t store, NodeId replaced);
+Command MakeDocumentCommand(const Document& document);
 
 Bytes EncodeCommands(const std::vector<Command>& commands);
 std::optional<std::vector<Command>> DecodeCommands(ByteView bytes);
@@ -69,6 +74,7 @@
   const ConfigurationPtr& configuration() const {      // NOLINT
     return m_configuration;
   }
+  const Document& document() const { return m_document; }  // NOLINT
   // Members with their store ids; 0 for one that has not joined yet.
   const std::map<NodeId, std::uint64_t>& members() const {  // NOLINT
     return m_members;
@@ -77,6 +83,8 @@
     return m_history;
   }  // NOLINT
 
+  // Members that have joined.
+  std::size_t JoinedCount() const;
   // Whether votes that `replica` casts from `store` count.
   bool IsVoter(NodeId replica, std::uint64_t store) const;
   // The votes that decide: a majority of the members that have joined.
@@ -96,6 +104,8 @@
   Outcome JudgePatch(const Command& command, std::uint64_t* base);
   Outcome JudgeChange(const Command& command);
   Outcome JudgeJoin(const Command& command);
+  Outcome JudgeAdmit(const Command& command);
+  Outcome JudgeDocument(const Command& command);
   Outcome Refuse(ErrorCode code, std::string message) const;
   Outcome Accept() const;
   // False where every outcome looked at must be remembered.
@@ -106,6 +116,7 @@
   std::uint64_t m_cluster = 0;
   std::uint64_t m_index = 0;
   ConfigurationPtr m_configuration = std::make_shared<Configuration>();
+  Document m_document;
   std::map<NodeId, std::uint64_t> m_members;
   std::unordered_map<std::string, Kept> m_outcomes;
   std::deque<std::string> m_outcome_order;
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -173,12 +173,17 @@
          {OutcomeKind::kUnknown, m_state.configuration()->version, error}});
   }
   m_pending.clear();
+  for (const PendingRead& read : m_reads) {
+    m_output.answers.push_back(
+        {read.request_id,
+         {OutcomeKind::kUnknown, m_state.document().version, error}});
+  }
+  m_reads.clear();
 }
 
 void Replica::Core::Sync(TimePoint now) {
   if (m_is_faulty) return;
-  const bool is_long = m_journal->record_count() > m_settings.compact_after;
-  const Done done = is_long ? Compact() : m_journal->Sync();
+  const Done done = IsCompactionDue() ? Compact() : m_journal->Sync();
   if (!done) return Fault();
   m_needs_sync = false;
   auto held = std::move(m_held);
@@ -286,6 +291,10 @@
       return HandleSnapshot(message, now);
     case AgreementType::kJoin:
       return HandleJoin(from, message, now);
+    case AgreementType::kProbe:
+      return HandleProbe(from, message);
+    case AgreementType::kProbed:
+      return HandleProbed(from, message);
   }
 }
 
@@ -303,16 +312,21 @@
   SeekMembership(now);
   Retransmit(now);
   MaybePropose(now);
-  const bool is_long = m_journal->record_count() > m_settings.compact_after;
-  if (is_long && !m_needs_sync && !Compact()) Fault();
+  TickReads(now);
+  if (IsCompactionDue() && !m_needs_sync && !Compact()) Fault();
+}
+
+bool Replica::Core::IsCompactionDue() const {
+  return m_journal->record_count() > m_settings.compact_after ||
+         m_journal->size_bytes() > m_settings.compact_after_bytes;
 }
 
 ReplicaRole Replica::Core::Role() const {
   if (m_is_faulty) return ReplicaRole::kFaulty;
   const auto found = m_state.members().find(m_settings.self);
   if (found == m_state.members().end()) {
-    return m_state.cluster() == 0 ? ReplicaRole::kJoining
-                                  : ReplicaRole::kRemoved;
+    const bool may_join = m_state.cluster() == 0 || m_settings.open_membership;
+    return may_join ? ReplicaRole::kJoining : ReplicaRole::kRemoved;
   }
   if (found->second != m_store) return ReplicaRole::kJoining;
   const auto contacted =
@@ -390,6 +404,23 @@
   return m_core->TakeOutput();
 }
 
+ReplicaOutput Replica::Submit(std::uint64_t request_id,
+                              const Document& document, TimePoint deadline,
+                              TimePoint now) {
+  m_core->Submit(request_id, MakeDocumentCommand(document), deadline, now);
+  return m_core->TakeOutput();
+}
+
+ReplicaOutput Replica::ConfirmRead(std::uint64_t request_id, TimePoint deadline,
+                                   TimePoint now) {
+  m_core->ConfirmRead(request_id, deadline, now);
+  return m_core->TakeOutput();
+}
+
+void Replica::SetContacts(const std::vector<NodeId>& contacts) {
+  m_core->SetContacts(contacts);
+}
+
 ReplicaOutput Replica::OnMessage(NodeId from, ByteView body, TimePoint now) {
   m_core->OnMessage(from, body, now);
   return m_core->TakeOutput();
@@ -411,6 +442,8 @@
   return m_core->state().configuration();
 }
 
+const Document& Replica::document() const { return m_core->state().document(); }
+
 ReplicaStatus Replica::Status(TimePoint now) const {
   return m_core->Status(now);
 }
--- a/src/replica_core.h
+++ b/src/replica_core.h
@@ -8,6 +8,7 @@
 //   replica_acceptor.cc  votes
 //   replica_proposer.cc  proposals, submissions
 //   replica_learner.cc   decided values, catching up, joining
+//   replica_reads.cc     reads that cannot be stale
 
 #include <deque>
 #include <map>
@@ -29,6 +30,10 @@
   Result<ReplicaOutput> Start(TimePoint now);
   void Submit(std::uint64_t request_id, Command command, TimePoint deadline,
               TimePoint now);
+  void ConfirmRead(std::uint64_t request_id, TimePoint deadline, TimePoint now);
+  void SetContacts(const std::vector<NodeId>& contacts) {
+    m_settings.contacts = contacts;
+  }
   void OnMessage(NodeId from, ByteView body, TimePoint now);
   void OnTick(TimePoint now);
   void Sync(TimePoint now);
@@ -47,6 +52,16 @@
     TimePoint deadline;
   };
 
+  // A read that waits to be confirmed.
+  struct PendingRead {
+    std::uint64_t request_id = 0;
+    std::uint64_t number = 0;  // Of its probe.
+    std::set<NodeId> confirmed_by;
+    std::uint64_t needed_index = 0;  // To be applied before the answer.
+    TimePoint deadline;
+    TimePoint probe_at;  // When to ask again.
+  };
+
   // A decided value that may still be asked for.
   struct Recent {
     std::uint64_t index = 0;
@@ -74,6 +89,7 @@
   void SendAfterSync(NodeId to, AgreementMessage message, TimePoint now);
   void Broadcast(const AgreementMessage& message);
   void Handle(NodeId from, const AgreementMessage& message, TimePoint now);
+  bool IsCompactionDue() const;
   bool IsOfCluster(const AgreementMessage& message) const;
   bool MayHandle(NodeId from, const AgreementMessage& message) const;
   ReplicaRole Role() const;
@@ -125,8 +141,18 @@
   void SendHeartbeat(NodeId to);
   void Fetch(NodeId from, TimePoint now);
   void SeekMembership(TimePoint now);
-
-  const ReplicaSettings m_settings;
+  NodeId LongSilentMember(TimePoint now) const;
+  bool WasRemoved() const;
+
+  // replica_reads.cc
+  void SendProbe(PendingRead* read, TimePoint now);
+  void HandleProbe(NodeId from, const AgreementMessage& message);
+  void HandleProbed(NodeId from, const AgreementMessage& message);
+  std::uint64_t HighestPossibleIndex() const;
+  void AnswerReads();
+  void TickReads(TimePoint now);
+
+  ReplicaSettings m_settings;
   Journal* const m_journal;
   const ReplicaHooks m_hooks;
 
@@ -156,6 +182,8 @@
   TimePoint m_help_at;
   Ballot m_yielded_to;
   std::deque<Pending> m_pending;
+  std::deque<PendingRead> m_reads;
+  std::uint64_t m_last_probe = 0;
 
   std::map<NodeId, Seen> m_seen;
   std::map<NodeId, TimePoint> m_heard;
--- a/src/replica_learner.cc
+++ b/src/replica_learner.cc
@@ -48,6 +48,7 @@
   m_help_at = now + Jittered(m_settings.help_delay);
   m_yield_until = now;
   AnswerPending(outcomes);
+  AnswerReads();
 }
 
 void Replica::Core::AnswerPending(
@@ -181,13 +182,18 @@
   if (!Compact()) return Fault();
   m_fetch_at = TimePoint{};
   AnswerPending({});
+  AnswerReads();
   SeekMembership(now);
 }
 
 void Replica::Core::HandleJoin(NodeId from, const AgreementMessage& message,
                                TimePoint now) {
   if (!CanVote()) return;
-  Command command = MakeJoinCommand(from, message.store);
+  const bool is_member = m_state.members().count(from) != 0;
+  Command command =
+      is_member || !m_settings.open_membership
+          ? MakeJoinCommand(from, message.store)
+          : MakeAdmitCommand(from, message.store, LongSilentMember(now));
   const std::string key = OutcomeKey(command);
   for (const Pending& pending : m_pending) {
     if (OutcomeKey(pending.command) == key) return;
@@ -195,9 +201,40 @@
   Submit(0, std::move(command), now + kJoinDeadline, now);
 }
 
+// The joined member that was silent longest, if for `replace_after`.
+NodeId Replica::Core::LongSilentMember(TimePoint now) const {
+  NodeId silent;
+  TimePoint oldest = now - m_settings.replace_after;
+  for (const auto& [member, store] : m_state.members()) {
+    if (store == 0 || member == m_settings.self) continue;
+    const auto found = m_heard.find(member);
+    const TimePoint heard =
+        found == m_heard.end() ? m_started_at : found->second;
+    if (heard >= oldest) continue;
+    oldest = heard;
+    silent = member;
+  }
+  return silent;
+}
+
+// Whether the log took this replica's store out of the members. It comes back
+// with another store, since the votes of this one must not count again.
+bool Replica::Core::WasRemoved() const {
+  const bool is_out =
+      m_state.cluster() != 0 && m_state.members().count(m_settings.self) == 0;
+  if (!is_out) return false;
+  const auto was_decided = [this](const Command& command) {
+    return m_state.FindOutcome(OutcomeKey(command)).has_value();
+  };
+  return m_acceptor.promised.counter != 0 ||
+         was_decided(MakeJoinCommand(m_settings.self, m_store)) ||
+         was_decided(MakeAdmitCommand(m_settings.self, m_store, NodeId{}));
+}
+
 void Replica::Core::SeekMembership(TimePoint now) {
   if (Role() != ReplicaRole::kJoining || now < m_join_at) return;
   m_join_at = now + Jittered(kJoinInterval);
+  if (WasRemoved() && !BeginWithoutMemory(std::move(m_state))) return Fault();
   const std::set<NodeId> peers = Peers();
   if (peers.empty()) return;
   auto peer = peers.begin();
--- a/src/replica_message.h
+++ b/src/replica_message.h
@@ -43,8 +43,10 @@
   kValues = 9,     // Decided values from `index` on.
   kSnapshot = 10,  // `value` is a whole state.
   kJoin = 11,      // The sender asks to vote from its store.
+  kProbe = 12,     // Asks for kProbed; `ballot.counter` numbers the question.
+  kProbed = 13,    // `index` is the highest that may be decided.
 };
-constexpr AgreementType kLastAgreementType = AgreementType::kJoin;
+constexpr AgreementType kLastAgreementType = AgreementType::kProbed;
 
 struct AgreementMessage {
   AgreementType type = AgreementType::kHeartbeat;
--- a/src/replica_proposer.cc
+++ b/src/replica_proposer.cc
@@ -30,6 +30,13 @@
   const ReplicaRole role = Role();
   const bool is_out =
       role == ReplicaRole::kFaulty || role == ReplicaRole::kRemoved;
+  const bool is_early = command.kind == CommandKind::kDocument &&
+                        m_state.JoinedCount() < m_settings.min_members;
+  if (is_early) {
+    return answer({OutcomeKind::kUnknown, m_state.document().version,
+                   Error{ErrorCode::kUnavailable,
+                         "too few replicas have joined; resend", ""}});
+  }
   if (is_out || m_pending.size() >= kMaxPending) {
     const std::string reason = is_out ? Name(role) : "overloaded";
     return answer({OutcomeKind::kUnknown, m_state.configuration()->version,
--- /dev/null
+++ b/src/route_table.cc
@@ -0,0 +1,189 @@
+#include "sardinelead/route_table.h"
+
+#include <numeric>
+#include <set>
+#include <utility>
+
+#include "cbor.h"
+#include "compress.h"
+
+namespace sardinelead {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMaxTableBytes = 4 << 20;
+
+std::string PathOf(const char* list, std::size_t index, const char* field) {
+  return std::string(list) + "[" + std::to_string(index) + "]." + field;
+}
+
+Result<void> CheckRoute(const Route& route, std::size_t index,
+                        const std::set<std::string>& pools) {
+  if (route.timeout_ms == 0) {
+    return Fail(ErrorCode::kOutOfRange,
+                "route \"" + route.name + "\" has a timeout of 0",
+                PathOf("routes", index, "timeout"));
+  }
+  std::uint64_t weights = 0;
+  for (const PoolShare& share : route.pools) {
+    weights += share.weight;
+    if (pools.count(share.pool) != 0) continue;
+    return Fail(ErrorCode::kUnknownName,
+                "route \"" + route.name + "\" names the unknown pool \"" +
+                    share.pool + "\"",
+                PathOf("routes", index, "pools"));
+  }
+  if (weights > 0) return {};
+  return Fail(ErrorCode::kOutOfRange,
+              "route \"" + route.name + "\" has no pool with a weight",
+              PathOf("routes", index, "pools"));
+}
+
+json ToJson(const Route& route) {
+  json pools = json::array();
+  for (const PoolShare& share : route.pools) {
+    pools.push_back(json::array({share.pool, share.weight}));
+  }
+  return json::array({route.name, route.address.ToString(),
+                      static_cast<std::uint64_t>(route.kind), route.timeout_ms,
+                      route.objective_ms, route.priority, std::move(pools)});
+}
+
+bool ReadRoute(const json& item, Route* route) {
+  CborArrayReader fields(item);
+  route->name = fields.Text();
+  const auto address = Endpoint::Parse(fields.Text());
+  const std::uint64_t kind = fields.Number();
+  route->timeout_ms = static_cast<std::uint32_t>(fields.Number());
+  route->objective_ms = static_cast<std::uint32_t>(fields.Number());
+  route->priority = static_cast<std::uint32_t>(fields.Number());
+  for (const json& part : fields.Array()) {
+    CborArrayReader share(part);
+    std::string pool = share.Text();
+    const auto weight = static_cast<std::uint32_t>(share.Number());
+    if (!share.ok()) return false;
+    route->pools.push_back({std::move(pool), weight});
+  }
+  const bool is_kind =
+      kind <= static_cast<std::uint64_t>(RequestKind::kDownload);
+  if (!fields.ok() || !address || !is_kind) return false;
+  route->address = *address;
+  route->kind = static_cast<RequestKind>(kind);
+  return true;
+}
+
+}  // namespace
+
+const char* Name(RequestKind kind) {
+  switch (kind) {
+    case RequestKind::kIdempotent:
+      return "idempotent";
+    case RequestKind::kNonIdempotent:
+      return "non-idempotent";
+    case RequestKind::kDownload:
+      return "download";
+  }
+  return "unknown";
+}
+
+const std::string& Route::PoolOf(std::uint64_t flow_hash) const {
+  if (pools.size() == 1) return pools.front().pool;
+  const std::uint64_t total = std::accumulate(
+      pools.begin(), pools.end(), std::uint64_t{0},
+      [](std::uint64_t sum, const PoolShare& s) { return sum + s.weight; });
+  std::uint64_t at = flow_hash % total;
+  for (const PoolShare& share : pools) {
+    if (at < share.weight) return share.pool;
+    at -= share.weight;
+  }
+  return pools.back().pool;
+}
+
+void RouteTable::BuildIndex() {
+  m_by_address.clear();
+  for (std::size_t i = 0; i < routes.size(); ++i) {
+    m_by_address.emplace(routes[i].address, i);
+  }
+}
+
+const Route* RouteTable::Find(const Endpoint& address) const {
+  const auto found = m_by_address.find(address);
+  return found == m_by_address.end() ? nullptr : &routes[found->second];
+}
+
+Result<void> Check(const RouteTable& table) {
+  std::set<std::string> pools;
+  for (std::size_t i = 0; i < table.pools.size(); ++i) {
+    if (pools.insert(table.pools[i].name).second) continue;
+    return Fail(ErrorCode::kDuplicate,
+                "pool \"" + table.pools[i].name + "\" stands twice",
+                PathOf("pools", i, "name"));
+  }
+  std::set<Endpoint> addresses;
+  for (std::size_t i = 0; i < table.routes.size(); ++i) {
+    const Route& route = table.routes[i];
+    if (!addresses.insert(route.address).second) {
+      return Fail(ErrorCode::kDuplicate,
+                  "address " + route.address.ToString() + " has two routes",
+                  PathOf("routes", i, "address"));
+    }
+    const auto checked = CheckRoute(route, i, pools);
+    if (!checked) return checked;
+  }
+  return {};
+}
+
+Bytes EncodeRouteTable(const RouteTable& table) {
+  json routes = json::array();
+  for (const Route& route : table.routes) routes.push_back(ToJson(route));
+  json pools = json::array();
+  for (const Pool& pool : table.pools) {
+    pools.push_back(json::array({pool.name, pool.health_path, pool.max_flows}));
+  }
+  const std::int64_t idle_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(table.idle_timeout)
+          .count();
+  return Compress(ToCbor(
+      json::array({table.version.value, std::move(routes), std::move(pools),
+                   static_cast<std::uint64_t>(idle_ms)})));
+}
+
+Result<RouteTable> DecodeRouteTable(ByteView bytes) {
+  const auto plain = Decompress(bytes, kMaxTableBytes);
+  if (!plain) return tl::unexpected<Error>(plain.error());
+  const json root = FromCbor(*plain);
+  CborArrayReader reader(root);
+  RouteTable table;
+  table.version = ConfigVersion{reader.Number()};
+  for (const json& item : reader.Array()) {
+    Route route;
+    if (!ReadRoute(item, &route)) {
+      return Fail(ErrorCode::kMalformed, "a route cannot be read",
+                  PathOf("routes", table.routes.size(), ""));
+    }
+    table.routes.push_back(std::move(route));
+  }
+  for (const json& item : reader.Array()) {
+    CborArrayReader fields(item);
+    Pool pool;
+    pool.name = fields.Text();
+    pool.health_path = fields.Text();
+    pool.max_flows = static_cast<std::uint32_t>(fields.Number());
+    if (!fields.ok()) {
+      return Fail(ErrorCode::kMalformed, "a pool cannot be read",
+                  PathOf("pools", table.pools.size(), ""));
+    }
+    table.pools.push_back(std::move(pool));
+  }
+  table.idle_timeout = std::chrono::milliseconds(reader.Number());
+  if (!reader.ok() || !reader.AtEnd()) {
+    return Fail(ErrorCode::kMalformed, "the route table cannot be read");
+  }
+  const auto checked = Check(table);
+  if (!checked) return tl::unexpected<Error>(checked.error());
+  table.BuildIndex();
+  return table;
+}
+
+}  // namespace sardinelead
--- /dev/null
+++ b/src/target_directory.cc
@@ -0,0 +1,146 @@
+#include "sardinelead/target_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinelead {
+namespace {
+
+bool IsOlder(const TargetNews& a, const TargetNews& b) {
+  if (a.started_ms != b.started_ms) return a.started_ms < b.started_ms;
+  return a.sequence < b.sequence;
+}
+
+bool IsSameToBalancers(const TargetNews& a, const TargetNews& b) {
+  return a.started_ms == b.started_ms && a.state == b.state &&
+         a.pool == b.pool && a.address == b.address &&
+         a.data_centre == b.data_centre && a.slots == b.slots;
+}
+
+}  // namespace
+
+const char* Name(AnnouncedState state) {
+  switch (state) {
+    case AnnouncedState::kReady:
+      return "ready";
+    case AnnouncedState::kDraining:
+      return "draining";
+    case AnnouncedState::kEnded:
+      return "ended";
+  }
+  return "unknown";
+}
+
+const char* Name(NewsEffect effect) {
+  switch (effect) {
+    case NewsEffect::kStale:
+      return "stale";
+    case NewsEffect::kRenewed:
+      return "renewed";
+    case NewsEffect::kChanged:
+      return "changed";
+  }
+  return "unknown";
+}
+
+std::uint32_t CookieOf(std::uint64_t target_number) {
+  constexpr std::uint64_t kSeed = 0x636f6f6b6965;
+  const auto low =
+      static_cast<std::uint32_t>(HashCombine(target_number, kSeed));
+  return std::max<std::uint32_t>(low, 1);
+}
+
+NewsEffect TargetDirectory::Take(const TargetNews& news, TimePoint heard_at) {
+  const auto [found, is_new] = m_entries.try_emplace(news.number);
+  Entry* entry = &found->second;
+  if (is_new) {
+    m_by_cookie.emplace(CookieOf(news.number), news.number);
+    return Begin(entry, news, heard_at);
+  }
+  if (IsOlder(news, entry->news)) return NewsEffect::kStale;
+  const bool is_over = entry->news.state == AnnouncedState::kEnded &&
+                       entry->news.started_ms == news.started_ms;
+  if (is_over) return NewsEffect::kStale;
+  if (!IsSameToBalancers(entry->news, news)) {
+    return Begin(entry, news, heard_at);
+  }
+  entry->news = news;
+  entry->heard_at = std::max(entry->heard_at, heard_at);
+  entry->warm_at = heard_at + news.warm_up_left;
+  return NewsEffect::kRenewed;
+}
+
+NewsEffect TargetDirectory::Begin(Entry* entry, const TargetNews& news,
+                                  TimePoint heard_at) {
+  entry->news = news;
+  entry->heard_at = std::max(entry->heard_at, heard_at);
+  entry->warm_at = heard_at + news.warm_up_left;
+  entry->revision = ++m_revision;
+  if (news.state == AnnouncedState::kEnded) entry->ended_at = heard_at;
+  SettleAddress(entry, heard_at);
+  return NewsEffect::kChanged;
+}
+
+// Ends all but the youngest target of the entry's address.
+void TargetDirectory::SettleAddress(Entry* entry, TimePoint now) {
+  for (auto& [number, other] : m_entries) {
+    const bool is_rival = &other != entry &&
+                          other.news.address == entry->news.address &&
+                          other.news.state != AnnouncedState::kEnded &&
+                          entry->news.state != AnnouncedState::kEnded;
+    if (!is_rival) continue;
+    End(other.news.started_ms < entry->news.started_ms ? &other : entry, now);
+  }
+}
+
+void TargetDirectory::End(Entry* entry, TimePoint now) {
+  entry->news.state = AnnouncedState::kEnded;
+  entry->ended_at = now;
+  entry->revision = ++m_revision;
+}
+
+void TargetDirectory::Renew(std::uint32_t cookie, TimePoint heard_at) {
+  const auto [begin, end] = m_by_cookie.equal_range(cookie);
+  for (auto it = begin; it != end; ++it) {
+    Entry& entry = m_entries.at(it->second);
+    entry.heard_at = std::max(entry.heard_at, heard_at);
+  }
+}
+
+void TargetDirectory::Forget(Duration age, TimePoint now) {
+  for (auto it = m_entries.begin(); it != m_entries.end();) {
+    const bool is_kept = now - it->second.heard_at < age;
+    if (is_kept) {
+      ++it;
+      continue;
+    }
+    const auto [begin, end] = m_by_cookie.equal_range(CookieOf(it->first));
+    for (auto cookie = begin; cookie != end; ++cookie) {
+      if (cookie->second != it->first) continue;
+      m_by_cookie.erase(cookie);
+      break;
+    }
+    it = m_entries.erase(it);
+  }
+}
+
+const TargetDirectory::Entry* TargetDirectory::Find(
+    std::uint64_t number) const {
+  const auto found = m_entries.find(number);
+  return found == m_entries.end() ? nullptr : &found->second;
+}
+
+const TargetDirectory::Entry* TargetDirectory::FindByCookie(
+    std::uint32_t cookie) const {
+  const Entry* best = nullptr;
+  const auto [begin, end] = m_by_cookie.equal_range(cookie);
+  for (auto it = begin; it != end; ++it) {
+    const Entry& entry = m_entries.at(it->second);
+    const bool is_better =
+        best == nullptr || best->news.state == AnnouncedState::kEnded;
+    if (is_better) best = &entry;
+  }
+  return best;
+}
+
+}  // namespace sardinelead
--- a/src/types.cc
+++ b/src/types.cc
@@ -92,6 +92,12 @@
   return shown + ":" + std::to_string(port);
 }
 
+std::size_t EndpointHash::operator()(const Endpoint& endpoint) const {
+  const auto* bytes =
+      reinterpret_cast<const char*>(endpoint.address.bytes.data());
+  return HashText({bytes, endpoint.address.bytes.size()}, endpoint.port);
+}
+
 const char* Name(Protocol protocol) {
   switch (protocol) {
     case Protocol::kTcp:
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -29,6 +29,8 @@
   CPPUNIT_TEST(SplitsLongBodies);
   CPPUNIT_TEST(RefusesStrangersAndOtherReceivers);
   CPPUNIT_TEST(RefusesWhatWasMeantForAnEarlierStart);
+  CPPUNIT_TEST(RefusesWhatAnEarlierStartSent);
+  CPPUNIT_TEST(RisesAboveAnIncarnationOfALaterClock);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -117,14 +119,38 @@
     m_a.OnDatagram(input.reply->bytes, kB, m_now);
     const Bytes next = m_a.Send(ToB({2}), m_now)[0].bytes;
     CPPUNIT_ASSERT(m_b.OnDatagram(next, kA, m_now).message.has_value());
-    // What an earlier start of A sent is not taken once the new one is known.
-    PeerLink older = MakeLink(1, 9);
-    older.OnDatagram(input.reply->bytes, kB, m_now);
-    const Bytes stale = older.Send(ToB({3}), m_now)[0].bytes;
+  }
+
+  // What an earlier start of A sent is not taken once the new one is known.
+  void RefusesWhatAnEarlierStartSent() {
+    Meet();
+    const Bytes stale = m_a.Send(ToB({3}), m_now)[0].bytes;
+    m_a = MakeLink(1, 11);
+    m_now += std::chrono::seconds(1);
+    Meet();
     CPPUNIT_ASSERT(m_b.OnDatagram(stale, kA, m_now).refusal ==
                    LinkRefusal::kOtherIncarnation);
   }
 
+  // A's clock went back while it was down, so its new incarnation is lower than
+  // the one that B knows. Its messages must arrive all the same.
+  void RisesAboveAnIncarnationOfALaterClock() {
+    Meet();
+    m_a = MakeLink(1, 7);
+    m_now += std::chrono::seconds(1);
+    const auto hello = m_a.Send(ToB({}), m_now);
+    const LinkInput refused = m_b.OnDatagram(hello[0].bytes, kA, m_now);
+    CPPUNIT_ASSERT(refused.refusal == LinkRefusal::kOtherIncarnation);
+    CPPUNIT_ASSERT(refused.reply.has_value());
+    const LinkInput told = m_a.OnDatagram(refused.reply->bytes, kB, m_now);
+    CPPUNIT_ASSERT(Incarnation{10} < m_a.incarnation());
+    CPPUNIT_ASSERT(told.reply.has_value());
+    const LinkInput met = m_b.OnDatagram(told.reply->bytes, kA, m_now);
+    CPPUNIT_ASSERT(!met.refusal);
+    const Bytes next = m_a.Send(ToB({2}), m_now)[0].bytes;
+    CPPUNIT_ASSERT(m_b.OnDatagram(next, kA, m_now).message.has_value());
+  }
+
  private:
   // A's first message becomes a hello; B answers it with its own.
   void Meet() {
