Recover sooner after a loss of power: keep targets on disk, hold packets

Cause: after power_off_all balancers came back at once, but control VMs knew no target until each one's next heartbeat (up to 1 s, then again 1 s to the next VM), the few that were known first were flooded and shed, and a balancer dropped what clients repeat only at doubling intervals. What is left of that loss is the time until the first control VM is back.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -50,7 +50,12 @@
   std::uint16_t length = 0;        // Of its data.
 };
 
-enum class ForwardAction : std::uint8_t { kForward, kReset, kDrop };
+enum class ForwardAction : std::uint8_t {
+  kForward,
+  kReset,
+  kDrop,
+  kHold,  // To be tried again once more is known of routes and targets.
+};
 
 // Why a packet was not forwarded, or how it was.
 enum class ForwardReason : std::uint8_t {
@@ -99,6 +104,8 @@
     // The directory's time; see FeedFollower::CoveredTime.
     std::function<TimePoint()> covered_time;
     std::function<std::size_t()> balancers;  // That share the data centre.
+    // Whether not all control VMs were heard yet since the start.
+    std::function<bool()> is_gathering;
   };
 
   // Keeps `directory`.
--- a/include/sardinelead/target_feed.h
+++ b/include/sardinelead/target_feed.h
@@ -8,9 +8,10 @@
 // what it has. Each control VM pushes what it heard itself, at once, until the
 // balancer has it: changed targets as records under a revision, targets that
 // live as cookies with their age, and the version of its routes, which a
-// balancer that is behind then asks one control VM for. Control VMs do not pass
-// on each other's targets: a balancer that reaches any side of a partition
-// knows what that side knows.
+// balancer that is behind then asks one control VM for. Control VMs follow each
+// other in the same way, but pass on another's target only in the first report
+// to a subscriber: one that has just started learns all from whoever answers
+// first, and each side of a partition goes by what it hears itself.
 //
 // Cost at t targets, c control VMs and b balancers: a report every half second
 // of some 40 bytes and 7 for each of t / c targets, to each of b subscribers.
@@ -41,6 +42,8 @@
   // long is taken to be away.
   Duration subscription = std::chrono::seconds(5);
   Duration silence = std::chrono::milliseconds(1300);
+  // Whether a target's silence counts only while most control VMs are heard.
+  bool counts_covered_time = true;
   // After its first report a balancer waits this long for other control VMs
   // before it goes by what it has.
   Duration gathering = std::chrono::milliseconds(1500);
@@ -59,6 +62,8 @@
     // The control VMs that balancers should listen to.
     std::function<std::vector<NodeId>()> members;
     std::function<EncodedRoutes()> routes;
+    // When this control VM heard the target itself, if it did.
+    std::function<std::optional<TimePoint>(std::uint64_t target)> heard_at;
   };
 
   // `epoch` tells starts of this process apart. Keeps `directory`.
@@ -114,6 +119,8 @@
 
   void SetContacts(std::vector<NodeId> contacts);
   Outbox OnMessage(NodeId from, ByteView body, TimePoint now);
+  // A control VM started, or this one is new to it.
+  Outbox OnMet(NodeId from, TimePoint now);
   // To be called every 50 ms.
   Outbox OnTick(TimePoint now);
 
@@ -143,6 +150,9 @@
     TimePoint poll_at;
   };
 
+  TimePoint DirectoryTime(TimePoint now) const {
+    return m_settings.counts_covered_time ? m_covered : now;
+  }
   void OnReport(NodeId from, const struct FeedReport& report, TimePoint now,
                 Outbox* out);
   void OnRoutes(NodeId from, ByteView bytes);
--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "target_store.h"
+
 namespace sardinelead {
 
 ControlPlane::ControlPlane(ControlPlaneSettings settings, Hooks hooks)
@@ -16,11 +18,51 @@
                      }
                      return members;
                    },
-                   [this] { return m_routes; }}) {
+                   [this] { return m_routes; },
+                   [this](std::uint64_t target) -> std::optional<TimePoint> {
+                     const auto found = m_heard_at.find(target);
+                     if (found == m_heard_at.end()) return std::nullopt;
+                     return found->second;
+                   }}),
+      m_follower(m_settings.feed, m_settings.replica.contacts, &m_directory,
+                 FollowerHooks()) {
   m_routes.bytes = std::make_shared<const Bytes>();
 }
 
-Result<void> ControlPlane::Start(TimePoint now) { return StartReplica(now); }
+Result<void> ControlPlane::Start(TimePoint now) {
+  LoadTargets(now);
+  return StartReplica(now);
+}
+
+FeedFollower::Hooks ControlPlane::FollowerHooks() const {
+  FeedFollower::Hooks hooks;
+  // Routes come with the agreement.
+  hooks.on_routes = [](const RouteTablePtr&) {};
+  hooks.on_source = [](NodeId, bool) {};
+  hooks.on_error = [this](NodeId, const Error& error) {
+    m_hooks.on_error(error);
+  };
+  return hooks;
+}
+
+// What this VM knew before it went down, so that balancers that start with it
+// need not wait for the targets' next words.
+void ControlPlane::LoadTargets(TimePoint now) {
+  const auto targets = ReadTargets(m_hooks.open_files());
+  if (!targets) return m_hooks.on_error(targets.error());
+  for (const TargetNews& news : *targets) m_directory.Take(news, now);
+  m_kept_revision = m_directory.revision();
+}
+
+void ControlPlane::KeepTargets(TimePoint now) {
+  if (m_kept_revision == m_directory.revision()) return;
+  if (!m_keep_at) m_keep_at = now + m_settings.keep_delay;
+  if (now < *m_keep_at) return;
+  m_keep_at = now + m_settings.keep_interval;
+  m_kept_revision = m_directory.revision();
+  const auto kept = WriteTargets(m_hooks.open_files(), m_directory);
+  if (!kept) m_hooks.on_error(kept.error());
+}
 
 Result<void> ControlPlane::StartReplica(TimePoint now) {
   m_replica.reset();
@@ -40,9 +82,14 @@
   }
   if (kind == MessageKind::kFeed) {
     m_hooks.send(m_publisher.OnMessage(from, body, now));
+    m_hooks.send(m_follower.OnMessage(from, body, now));
   }
 }
 
+void ControlPlane::OnMet(NodeId from, TimePoint now) {
+  m_hooks.send(m_follower.OnMet(from, now));
+}
+
 void ControlPlane::OnTick(TimePoint now) {
   if (m_restart_at && now >= *m_restart_at) {
     const auto started = StartReplica(now);
@@ -64,11 +111,14 @@
   if (must_restart) m_restart_at = now + m_settings.restart_interval;
   m_directory.Forget(m_settings.target_memory, now);
   m_hooks.send(m_publisher.OnTick(now));
+  m_hooks.send(m_follower.OnTick(now));
+  KeepTargets(now);
 }
 
 void ControlPlane::SetContacts(const std::vector<NodeId>& contacts) {
   m_settings.replica.contacts = contacts;
   m_replica->SetContacts(contacts);
+  m_follower.SetContacts(contacts);
 }
 
 void ControlPlane::Flush(TimePoint now) {
@@ -134,6 +184,7 @@
 
 NewsEffect ControlPlane::Take(const TargetNews& news, TimePoint now) {
   const NewsEffect effect = m_directory.Take(news, now);
+  if (effect != NewsEffect::kStale) m_heard_at[news.number] = now;
   if (effect == NewsEffect::kChanged) m_hooks.send(m_publisher.OnTick(now));
   return effect;
 }
--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -25,13 +25,17 @@
 
 struct ControlPlaneSettings {
   ReplicaSettings replica;
-  FeedSettings feed;
+  FeedSettings feed;  // Of both ends: other control VMs are followed, too.
   std::uint64_t epoch = 0;  // Tells starts of this process apart.
   Duration answer_deadline = std::chrono::milliseconds(850);
   // Without a quorum for this long, callers are turned away at once.
   Duration quorum_silence = std::chrono::milliseconds(900);
   Duration restart_interval = std::chrono::seconds(1);
   Duration target_memory = std::chrono::minutes(10);
+  // Targets are written to the disk this long after a change, and less often
+  // where the disk is slow.
+  Duration keep_delay = std::chrono::milliseconds(300);
+  Duration keep_interval = std::chrono::seconds(2);
 };
 
 class ControlPlane {
@@ -52,6 +56,8 @@
 
   Result<void> Start(TimePoint now);
   void OnMessage(NodeId from, MessageKind kind, ByteView body, TimePoint now);
+  // A process of the system started, or this one is new to it.
+  void OnMet(NodeId from, TimePoint now);
   // To be called after each run of messages: one sync serves all of them.
   void Flush(TimePoint now);
   // To be called every 20 ms.
@@ -75,6 +81,9 @@
   Result<void> StartReplica(TimePoint now);
   void Dispatch(ReplicaOutput output, TimePoint now);
   void TakeRoutes(TimePoint now);
+  FeedFollower::Hooks FollowerHooks() const;
+  void LoadTargets(TimePoint now);
+  void KeepTargets(TimePoint now);
   bool HasQuorum(TimePoint now) const;
 
   ControlPlaneSettings m_settings;
@@ -83,7 +92,12 @@
   std::unique_ptr<Journal> m_journal;
   std::unique_ptr<Replica> m_replica;
   EncodedRoutes m_routes;
+  // When targets called this VM itself.
+  std::unordered_map<std::uint64_t, TimePoint> m_heard_at;
   FeedPublisher m_publisher;
+  FeedFollower m_follower;
+  std::uint64_t m_kept_revision = 0;
+  std::optional<TimePoint> m_keep_at;
   std::unordered_map<std::uint64_t, OnOutcome> m_pending;
   std::uint64_t m_last_request = 0;
   ReplicaRole m_role = ReplicaRole::kStarting;
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -70,7 +70,10 @@
                                     TimePoint now) {
   Forwarding out;
   out.flow = packet.flow;
-  if (!m_routes) return out;
+  if (!m_routes) {
+    out.action = ForwardAction::kHold;
+    return out;
+  }
   if (m_routes->Find(packet.flow.service) == nullptr) {
     const bool was_removed = m_removed_routes.count(packet.flow.service) != 0;
     if (packet.opens) return MakeReset(packet, ForwardReason::kNoRoute);
@@ -115,6 +118,10 @@
   Forwarding out = PlaceFlow(packet.flow, route, &flow, reason, now);
   if (out.action == ForwardAction::kForward) return out;
   Forget(packet.flow);
+  if (m_hooks.is_gathering()) {
+    out.action = ForwardAction::kHold;
+    return out;
+  }
   return MakeReset(packet, ForwardReason::kNoTarget);
 }
 
@@ -156,6 +163,7 @@
   const TargetDirectory::Entry* entry = TargetOf(packet);
   if (entry == nullptr) {
     out.reason = ForwardReason::kUnknownCookie;
+    if (packet.cookie != 0) out.action = ForwardAction::kHold;
     return out;
   }
   const TargetNews& news = entry->news;
--- a/src/feed_follower.cc
+++ b/src/feed_follower.cc
@@ -68,11 +68,12 @@
   m_balancers = std::max<std::size_t>(report.balancers, 1);
   for (const NodeId member : report.members) AddSource(member);
   if (!report.members.empty()) m_members = report.members;
+  const TimePoint directory_time = DirectoryTime(now);
   for (const ReportedTarget& target : report.changed) {
-    m_directory->Take(target.news, m_covered - target.silent);
+    m_directory->Take(target.news, directory_time - target.silent);
   }
   for (const LivingTarget& target : report.living) {
-    m_directory->Renew(target.cookie, m_covered - target.silent);
+    m_directory->Renew(target.cookie, directory_time - target.silent);
   }
   // A report that builds on changes that never came leaves a gap: the poll
   // tells what is missing.
@@ -89,6 +90,13 @@
   TellSources(now);
 }
 
+Outbox FeedFollower::OnMet(NodeId from, TimePoint now) {
+  const auto found = m_sources.find(from);
+  if (found == m_sources.end()) return {};
+  found->second.poll_at = now + m_settings.poll_interval;
+  return {MakePoll(from, m_version.value == 0)};
+}
+
 void FeedFollower::OnRoutes(NodeId from, ByteView bytes) {
   auto table = DecodeRouteTable(bytes);
   if (!table) {
@@ -119,9 +127,9 @@
     if (now < source.poll_at && !wants_routes) continue;
     // Before the first report, so that a start is not slowed by one loss.
     const Duration interval = source.was_heard ? m_settings.poll_interval
-                                               : m_settings.repeat_interval * 2;
+                                               : m_settings.repeat_interval;
     source.poll_at = now + interval;
-    out.push_back(MakePoll(id, wants_routes));
+    out.push_back(MakePoll(id, wants_routes || m_version.value == 0));
   }
   return out;
 }
--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -101,8 +101,11 @@
   report.data_centre = m_settings.data_centre;
   report.balancers = BalancersIn(subscriber.data_centre);
   report.members = m_hooks.members();
+  const bool is_first = subscriber.acknowledged == 0;
   for (const auto& [number, entry] : m_directory->entries()) {
-    const Duration silent = now - entry.heard_at;
+    const auto heard_at = m_hooks.heard_at(number);
+    if (!heard_at && !is_first) continue;
+    const Duration silent = now - heard_at.value_or(entry.heard_at);
     if (entry.revision > subscriber.acknowledged) {
       ReportedTarget target{entry.news, silent};
       const bool is_warm = entry.warm_at <= now;
--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -188,10 +188,14 @@
   return out;
 }
 
-LinkInput PeerLink::Refuse(LinkRefusal refusal) {
+LinkRefusal PeerLink::Count(LinkRefusal refusal) {
   ++m_refused[static_cast<std::size_t>(refusal)];
+  return refusal;
+}
+
+LinkInput PeerLink::Refuse(LinkRefusal refusal) {
   LinkInput input;
-  input.refusal = refusal;
+  input.refusal = Count(refusal);
   return input;
 }
 
@@ -233,21 +237,22 @@
   const bool is_hello = header.kind == kHelloKind;
   const bool is_for_this_start =
       header.receiver_incarnation == LowHalf(m_settings.incarnation);
+  LinkInput input;
+  if (is_new_start) input.met = header.sender;
   if (!is_for_this_start) {
     // The sender does not know this start yet: a hello tells it. A hello that
     // says so is no fault.
-    LinkInput input;
     RiseAbove(header.receiver_incarnation);
-    if (!is_hello) input = Refuse(LinkRefusal::kOtherIncarnation);
+    if (!is_hello) input.refusal = Count(LinkRefusal::kOtherIncarnation);
     input.reply = Hello(header.sender, &peer, now);
     return input;
   }
   if (!TakeSequence(&peer, header.sequence)) {
-    return Refuse(LinkRefusal::kReplayed);
+    input.refusal = Count(LinkRefusal::kReplayed);
+    return input;
   }
   // Meant for this start and not seen before: the sender is there now.
   peer.address = source;
-  LinkInput input;
   if (!is_hello) input.message = Assemble(header, &peer, body);
   return input;
 }
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -72,6 +72,9 @@
   std::optional<ReceivedMessage> message;
   std::optional<Datagram> reply;
   std::optional<LinkRefusal> refusal;
+  // A peer whose start was not known until now: what was sent to it before is
+  // lost.
+  std::optional<NodeId> met;
 };
 
 class PeerLink {
@@ -116,6 +119,7 @@
   std::optional<Header> Open(ByteView datagram, LinkRefusal* refusal) const;
   Datagram MakeDatagram(Peer* peer, Header header, ByteView body);
   std::optional<Datagram> Hello(NodeId to, Peer* peer, TimePoint now);
+  LinkRefusal Count(LinkRefusal refusal);
   LinkInput Refuse(LinkRefusal refusal);
   LinkInput Take(const Header& header, ByteView body, const Endpoint& source,
                  TimePoint now);
--- a/src/peer_port.h
+++ b/src/peer_port.h
@@ -18,6 +18,8 @@
     std::function<TimePoint()> now;
     std::function<Endpoint(NodeId peer)> address_of;
     std::function<void(const ReceivedMessage& message)> on_message;
+    // A peer started; what was sent to it before is lost.
+    std::function<void(NodeId peer)> on_met;
     // After the messages that came together.
     std::function<void()> on_batch_end;
   };
--- /dev/null
+++ b/src/target_store.cc
@@ -0,0 +1,63 @@
+#include "target_store.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "big_endian.h"
+#include "feed_message.h"
+
+namespace sardinelead {
+namespace {
+
+constexpr char kName[] = "targets";
+constexpr std::size_t kChecksumBytes = 8;
+
+std::uint64_t ChecksumOf(ByteView bytes) {
+  return XXH3_64bits(bytes.data, bytes.size);
+}
+
+}  // namespace
+
+Result<std::vector<TargetNews>> ReadTargets(const FileHooks& files) {
+  std::vector<TargetNews> targets;
+  const auto names = files.list();
+  if (!names) return tl::unexpected<Error>(names.error());
+  const bool exists =
+      std::find(names->begin(), names->end(), kName) != names->end();
+  if (!exists) return targets;
+  const auto file = files.read(kName);
+  if (!file) return tl::unexpected<Error>(file.error());
+  const Error corrupt{ErrorCode::kCorrupt, "the file fails its checksum",
+                      kName};
+  if (file->size() < kChecksumBytes) return tl::unexpected<Error>(corrupt);
+  const ByteView body(file->data() + kChecksumBytes,
+                      file->size() - kChecksumBytes);
+  if (LoadBig<std::uint64_t>(file->data()) != ChecksumOf(body)) {
+    return tl::unexpected<Error>(corrupt);
+  }
+  auto message = DecodeFeedMessage(body);
+  if (!message) return tl::unexpected<Error>(message.error());
+  const auto* report = std::get_if<FeedReport>(&*message);
+  if (report == nullptr) return tl::unexpected<Error>(corrupt);
+  for (const ReportedTarget& target : report->changed) {
+    targets.push_back(target.news);
+  }
+  return targets;
+}
+
+Done WriteTargets(const FileHooks& files, const TargetDirectory& directory) {
+  FeedReport report;
+  for (const auto& [number, entry] : directory.entries()) {
+    if (entry.news.state == AnnouncedState::kEnded) continue;
+    report.changed.push_back({entry.news, Duration{0}});
+  }
+  const Bytes body = report.Encode();
+  Bytes file(kChecksumBytes);
+  StoreBig(ChecksumOf(body), file.data());
+  file.insert(file.end(), body.begin(), body.end());
+  return files.replace(kName, file);
+}
+
+}  // namespace sardinelead
