Find lost targets by their callers' repeats, and free their flows

Change: two repeats of requests, each 150 ms or more after the request and with no answer of the target since, show that the target is lost. Idle flows and repeating idempotent requests on it are reset; it takes no new flows until a trial is answered. A balancer that was itself not run does not judge. A flow that another balancer opened is no sign of life.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -67,6 +67,7 @@
   kNoTarget,       // The pool has no target to use.
   kUnknownCookie,  // No target is known by it.
   kTargetEnded,    // The flow's target is gone.
+  kTargetLost,     // Nothing reaches the flow's target.
   kNotReady,       // No routes are known yet.
   kCount,
 };
@@ -119,6 +120,11 @@
                       TimePoint now);
   // Opening packets to send to another target now. To be called at NextTick().
   std::vector<Forwarding> OnTick(TimePoint now);
+  // To be called every 50 ms: a process that was not run for long cannot tell
+  // how long others were silent.
+  void OnPulse(TimePoint now);
+  // Resets of flows whose target was found to be lost since the last call.
+  std::vector<Forwarding> TakeResets();
   // When an opening packet will have waited too long; empty where none waits.
   std::optional<TimePoint> NextTick() const;
   // Forgets flows without packets. To be called every second.
@@ -134,6 +140,9 @@
     bool is_waiting = false;  // For the answer to a request.
     std::uint32_t acknowledged = 0;
     std::uint32_t data_end = 0;  // Sequence number after the newest data.
+    bool is_repeating = false;   // Its request, which nothing acknowledged.
+    bool may_repeat = false;     // By the kind of its route.
+    TimePoint request_at;        // When the newest data came.
     TimePoint seen_at;
     std::vector<std::uint64_t> tried;  // While it opens.
     Bytes opening_packet;              // While it opens and may be sent again.
@@ -159,6 +168,8 @@
   bool MayTakeFlows(const TargetDirectory::Entry& entry) const;
   void Track(const FlowPacket& packet, std::uint64_t target, TimePoint now);
   void TrackData(const FlowPacket& packet, Flow* flow, TimePoint now);
+  void TrackRepeat(Flow* flow, TimePoint now);
+  void ResetFlowsOf(std::uint64_t target);
   void Forget(const FlowKey& key);
 
   CookieBalancerSettings m_settings;
@@ -170,6 +181,9 @@
   std::unordered_map<Endpoint, bool, EndpointHash> m_removed_routes;
   std::unordered_map<FlowKey, Flow, HashFlowKey> m_flows;
   std::vector<Retry> m_retries;  // In order of time.
+  std::vector<Forwarding> m_resets;
+  TimePoint m_pulse_at;
+  TimePoint m_trusted_since;  // No pulse was late since.
   // Targets that may take flows, by pool, made anew after a while.
   std::unordered_map<std::string, std::vector<PlacementTarget>> m_targets;
   std::uint64_t m_targets_revision = 0;
--- a/include/sardinelead/flow_placement.h
+++ b/include/sardinelead/flow_placement.h
@@ -29,6 +29,12 @@
   // An opening packet without an answer for this long speaks against the
   // target. Answers take a round trip to the caller, some milliseconds.
   Duration answer_deadline = std::chrono::milliseconds(60);
+  // A caller repeats what the target did not acknowledge after 200 ms; a repeat
+  // sooner than this came out of order.
+  Duration repeat_age = std::chrono::milliseconds(150);
+  // So many flows that repeat, or repeats of one flow, while the target answers
+  // nothing, show that it is lost. One may be a lost packet.
+  std::uint32_t repeats_to_lose = 2;
   // A target that answers nothing is tried with one flow this often.
   Duration trial_interval = std::chrono::milliseconds(700);
   // Waiting requests a slot, over the data centre's balancers, at which other
@@ -57,6 +63,8 @@
   std::optional<TimePoint> unanswered_since;
   std::optional<TimePoint> tried_at;  // While it answers nothing.
   TimePoint answered_at;              // By whatever flow, last.
+  std::uint32_t repeats = 0;          // Of requests, since the last answer.
+  bool is_lost = false;               // Nothing reaches it, or it is dead.
 };
 
 class FlowPlacement {
@@ -80,14 +88,19 @@
   void OnRequest(std::uint64_t target);
   // The target answered a request, or the request ended otherwise.
   void OnAnswer(std::uint64_t target, bool is_answered, TimePoint now);
+  // A request sent at `sent_at` was repeated. Whether that shows that the
+  // target is lost, which is told once.
+  bool OnRepeat(std::uint64_t target, TimePoint sent_at, TimePoint now);
   void OnClosed(std::uint64_t target);
   void Forget(std::uint64_t target) { m_views.erase(target); }
 
-  // Whether opening packets to the target go unanswered.
+  bool IsLost(std::uint64_t target) const;
+  // Whether opening packets to the target go unanswered, or it is lost.
   bool IsSuspect(std::uint64_t target, TimePoint now) const;
   const TargetView* Find(std::uint64_t target) const;
 
  private:
+  static void NoteAnswer(TargetView* view, TimePoint now);
   double Score(const PlacementTarget& target) const;
 
   PlacementSettings m_settings;
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -9,6 +9,8 @@
 // How long the list of targets may lag behind leases and warm-ups.
 constexpr Duration kTargetsAge = std::chrono::milliseconds(100);
 constexpr std::size_t kMaxRemovedRoutes = 10'000;
+// Between pulses; beyond it the process did not run.
+constexpr Duration kLongestPulse = std::chrono::milliseconds(200);
 
 // Whether sequence number `a` lies after `b`, on the ring of 32 bits.
 bool IsAfter(std::uint32_t a, std::uint32_t b) {
@@ -35,6 +37,8 @@
       return "unknown-cookie";
     case ForwardReason::kTargetEnded:
       return "target-ended";
+    case ForwardReason::kTargetLost:
+      return "target-lost";
     case ForwardReason::kNotReady:
       return "not-ready";
     case ForwardReason::kCount:
@@ -175,6 +179,14 @@
     return MakeReset(packet, ForwardReason::kTargetEnded);
   }
   Track(packet, news.number, now);
+  const auto flow = m_flows.find(packet.flow);
+  const bool is_stuck = flow != m_flows.end() && flow->second.is_repeating &&
+                        flow->second.may_repeat &&
+                        m_placement.IsLost(news.number) && m_resets.empty();
+  if (is_stuck) {
+    Forget(packet.flow);
+    return MakeReset(packet, ForwardReason::kTargetLost);
+  }
   out.action = ForwardAction::kForward;
   out.reason = ForwardReason::kByCookie;
   out.target = news.number;
@@ -210,6 +222,8 @@
     m_placement.OnOpened(target, flow.target == target, now);
     flow.target = target;
     flow.is_open = true;
+    flow.may_repeat = m_routes->Find(packet.flow.service)->kind !=
+                      RequestKind::kNonIdempotent;
     flow.acknowledged = packet.acknowledged;
     if (is_new) flow.data_end = packet.sequence;
     flow.tried = {};
@@ -226,14 +240,55 @@
     flow->acknowledged = packet.acknowledged;
     if (flow->is_waiting) m_placement.OnAnswer(flow->target, true, now);
     flow->is_waiting = false;
+    flow->is_repeating = false;
   }
+  if (packet.length == 0) return;
   const std::uint32_t end = packet.sequence + packet.length;
-  if (packet.length == 0 || !IsAfter(end, flow->data_end)) return;
+  if (!IsAfter(end, flow->data_end)) return TrackRepeat(flow, now);
   flow->data_end = end;
+  flow->request_at = now;
   if (!flow->is_waiting) m_placement.OnRequest(flow->target);
   flow->is_waiting = true;
 }
 
+void CookieBalancer::TrackRepeat(Flow* flow, TimePoint now) {
+  const bool is_known = flow->is_waiting && flow->request_at >= m_trusted_since;
+  if (!is_known) return;
+  const Duration age = now - flow->request_at;
+  flow->is_repeating =
+      flow->is_repeating || age >= m_settings.placement.repeat_age;
+  if (m_placement.OnRepeat(flow->target, flow->request_at, now)) {
+    ResetFlowsOf(flow->target);
+  }
+}
+
+// Lets callers of a lost target go elsewhere: with requests that did not reach
+// it and may run again, and from flows on which nothing is under way.
+void CookieBalancer::ResetFlowsOf(std::uint64_t target) {
+  for (const auto& [key, flow] : m_flows) {
+    const bool is_stuck = flow.is_repeating && flow.may_repeat;
+    const bool is_reset =
+        flow.is_open && flow.target == target && (is_stuck || !flow.is_waiting);
+    if (!is_reset) continue;
+    Forwarding reset;
+    reset.action = ForwardAction::kReset;
+    reset.reason = ForwardReason::kTargetLost;
+    reset.flow = key;
+    reset.reset_sequence = flow.acknowledged;
+    m_resets.push_back(std::move(reset));
+  }
+}
+
+std::vector<Forwarding> CookieBalancer::TakeResets() {
+  for (const Forwarding& reset : m_resets) Forget(reset.flow);
+  return std::exchange(m_resets, {});
+}
+
+void CookieBalancer::OnPulse(TimePoint now) {
+  if (now - m_pulse_at > kLongestPulse) m_trusted_since = now;
+  m_pulse_at = now;
+}
+
 void CookieBalancer::Forget(const FlowKey& key) {
   const auto found = m_flows.find(key);
   if (found == m_flows.end()) return;
--- a/src/flow_placement.cc
+++ b/src/flow_placement.cc
@@ -54,9 +54,8 @@
     TargetView& view = m_views[target.number];
     if (IsSuspect(target.number, now)) {
       const bool is_trial_due =
-          target.is_local &&
-          now - view.tried_at.value_or(*view.unanswered_since) >=
-              m_settings.trial_interval;
+          target.is_local && now - view.tried_at.value_or(view.answered_at) >=
+                                 m_settings.trial_interval;
       if (is_trial_due) {
         view.tried_at = now;
         return target.number;
@@ -93,7 +92,9 @@
 
 bool FlowPlacement::IsSuspect(std::uint64_t target, TimePoint now) const {
   const auto found = m_views.find(target);
-  if (found == m_views.end() || !found->second.unanswered_since) return false;
+  if (found == m_views.end()) return false;
+  if (found->second.is_lost) return true;
+  if (!found->second.unanswered_since) return false;
   return now - *found->second.unanswered_since > m_settings.answer_deadline;
 }
 
@@ -111,11 +112,10 @@
 void FlowPlacement::OnOpened(std::uint64_t target, bool was_opening,
                              TimePoint now) {
   TargetView& view = m_views[target];
-  if (was_opening) Decrease(&view.opening);
   ++view.open;
-  view.unanswered_since.reset();
-  view.tried_at.reset();
-  view.answered_at = now;
+  if (!was_opening) return;
+  Decrease(&view.opening);
+  NoteAnswer(&view, now);
 }
 
 void FlowPlacement::OnOpeningEnded(std::uint64_t target) {
@@ -130,10 +130,32 @@
                              TimePoint now) {
   TargetView& view = m_views[target];
   Decrease(&view.waiting);
-  if (!is_answered) return;
-  view.unanswered_since.reset();
-  view.tried_at.reset();
-  view.answered_at = now;
+  if (is_answered) NoteAnswer(&view, now);
+}
+
+void FlowPlacement::NoteAnswer(TargetView* view, TimePoint now) {
+  view->unanswered_since.reset();
+  view->tried_at.reset();
+  view->answered_at = now;
+  view->repeats = 0;
+  view->is_lost = false;
+}
+
+bool FlowPlacement::OnRepeat(std::uint64_t target, TimePoint sent_at,
+                             TimePoint now) {
+  TargetView& view = m_views[target];
+  const bool is_evidence =
+      now - sent_at >= m_settings.repeat_age && view.answered_at < sent_at;
+  if (!is_evidence || view.is_lost) return false;
+  ++view.repeats;
+  view.is_lost = view.repeats >= m_settings.repeats_to_lose;
+  if (view.is_lost) view.tried_at = now;
+  return view.is_lost;
+}
+
+bool FlowPlacement::IsLost(std::uint64_t target) const {
+  const auto found = m_views.find(target);
+  return found != m_views.end() && found->second.is_lost;
 }
 
 void FlowPlacement::OnClosed(std::uint64_t target) {
