--- a/src/feed_message.cc
+++ b/src/feed_message.cc
@@ -23,8 +23,7 @@
   const TargetNews& news = target.news;
   return json::array({news.number, news.started_ms, news.sequence,
                       static_cast<std::uint64_t>(news.state), news.pool,
-                      std::uint64_t{news.address.address.ToV4()},
-                      std::uint64_t{news.address.port}, news.data_centre,
+                      news.address.ToString(), news.data_centre,
                       std::uint64_t{news.slots}, ToMs(news.warm_up_left),
                       ToMs(target.silent)});
 }
@@ -37,9 +36,9 @@
   news.sequence = fields.Number();
   const std::uint64_t state = fields.Number();
   news.pool = fields.Text();
-  const auto address = static_cast<std::uint32_t>(fields.Number());
-  const auto port = static_cast<std::uint16_t>(fields.Number());
-  news.address = {IpAddress::FromV4(address), port};
+  const auto address = Endpoint::Parse(fields.Text());
+  if (!address) return false;
+  news.address = *address;
   news.data_centre = fields.Text();
   news.slots = static_cast<std::uint32_t>(fields.Number());
   news.warm_up_left = milliseconds(fields.Number());
--- a/src/flow_placement.cc
+++ b/src/flow_placement.cc
@@ -54,8 +54,9 @@
     TargetView& view = m_views[target.number];
     if (IsSuspect(target.number, now)) {
       const bool is_trial_due =
-          target.is_local && now - view.tried_at.value_or(view.answered_at) >=
-                                 m_settings.trial_interval;
+          target.is_local &&
+          now - view.tried_at.value_or(view.unanswered_since.value_or(now)) >=
+              m_settings.trial_interval;
       if (is_trial_due) {
         view.tried_at = now;
         return target.number;
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -6,6 +6,12 @@
 #include "replica_core.h"
 
 namespace sardinelead {
+namespace {
+
+// Without a quorum for this long, a replica may have been removed.
+constexpr Duration kLonelyAfter = std::chrono::seconds(1);
+
+}  // namespace
 
 const char* Name(OutcomeKind kind) {
   switch (kind) {
@@ -52,6 +58,7 @@
   m_started_at = now;
   const auto identity = m_journal->ReadIdentity();
   if (!identity && identity.error().code != ErrorCode::kCorrupt) {
+    m_is_faulty = true;
     return tl::unexpected<Error>(identity.error());
   }
   Done done;
@@ -62,7 +69,10 @@
   } else {
     done = BeginWithoutMemory(RegisterState());
   }
-  if (!done) return tl::unexpected<Error>(done.error());
+  if (!done) {
+    m_is_faulty = true;
+    return tl::unexpected<Error>(done.error());
+  }
   const AgreementMessage hello = Make(AgreementType::kHello);
   for (const NodeId peer : Peers()) Send(peer, hello);
   return TakeOutput();
@@ -302,10 +312,12 @@
   ExpirePending(now);
   if (now >= m_heartbeat_at) {
     m_heartbeat_at = now + m_settings.heartbeat_interval;
-    const bool is_starting = Role() == ReplicaRole::kStarting;
+    // Members do not turn to one that they removed; it has to ask.
+    const bool must_ask = Role() == ReplicaRole::kStarting ||
+                          Status(now).staleness > kLonelyAfter;
     for (const NodeId peer : Peers()) {
       SendHeartbeat(peer);
-      if (is_starting) Send(peer, Make(AgreementType::kHello));
+      if (must_ask) Send(peer, Make(AgreementType::kHello));
     }
   }
   if (m_is_faulty) return;
--- /dev/null
+++ b/tests/control_plane_test.cc
@@ -0,0 +1,203 @@
+#include "control_plane.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+#include "log_budget.h"
+#include "replica_cluster.h"
+#include "target_store.h"
+
+namespace sardinelead {
+namespace {
+
+using std::chrono::milliseconds;
+constexpr Duration kSecond = std::chrono::seconds(1);
+
+class ControlPlaneTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ControlPlaneTest);
+  CPPUNIT_TEST(AnAcceptedDocumentIsInTheFeed);
+  CPPUNIT_TEST(AFailedDiskIsTriedAgain);
+  CPPUNIT_TEST(TargetsOutliveARestart);
+  CPPUNIT_TEST(ADamagedTargetFileIsReported);
+  CPPUNIT_TEST(WithoutAQuorumCallersAreTurnedAwayAtOnce);
+  CPPUNIT_TEST(FloodOfOneEventLeavesTheOthers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { Start(true); }
+
+  void AnAcceptedDocumentIsInTheFeed() {
+    CPPUNIT_ASSERT(SubmitNow(4) == OutcomeKind::kAccepted);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, m_routes_version);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, m_plane->document().version.value);
+  }
+
+  // A disk that was full and has room again: without a restart by hand.
+  void AFailedDiskIsTriedAgain() {
+    CPPUNIT_ASSERT(SubmitNow(1) == OutcomeKind::kAccepted);
+    m_disk.is_full = true;
+    CPPUNIT_ASSERT(SubmitNow(2) == OutcomeKind::kUnknown);
+    Run(5 * kSecond);
+    CPPUNIT_ASSERT(m_plane->Status(m_now).role == ReplicaRole::kFaulty);
+    m_disk.is_full = false;
+    Run(3 * kSecond);
+    CPPUNIT_ASSERT(m_plane->Status(m_now).role == ReplicaRole::kVoting);
+    CPPUNIT_ASSERT(SubmitNow(3) == OutcomeKind::kAccepted);
+  }
+
+  void TargetsOutliveARestart() {
+    TargetNews news;
+    news.number = 5;
+    news.started_ms = 7;
+    news.sequence = 3;
+    news.pool = "orders";
+    news.address = *Endpoint::Parse("10.0.0.5:80");
+    m_plane->Take(news, m_now);
+    TargetNews ended = news;
+    ended.number = 6;
+    ended.address.port = 81;
+    ended.state = AnnouncedState::kEnded;
+    m_plane->Take(ended, m_now);
+    Run(kSecond);
+    Start(false);
+    const auto* entry = m_plane->directory().Find(5);
+    CPPUNIT_ASSERT(entry != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, entry->news.sequence);
+    CPPUNIT_ASSERT(m_plane->directory().Find(6) == nullptr);
+    // What the target says goes before the file.
+    news.state = AnnouncedState::kDraining;
+    news.sequence = 4;
+    CPPUNIT_ASSERT(m_plane->Take(news, m_now) == NewsEffect::kChanged);
+  }
+
+  void ADamagedTargetFileIsReported() {
+    TargetNews news;
+    news.number = 5;
+    m_plane->Take(news, m_now);
+    Run(kSecond);
+    Bytes& file = m_disk.files()["targets"].synced;
+    CPPUNIT_ASSERT(!file.empty());
+    file.back() ^= 1;
+    m_errors = 0;
+    Start(false);
+    CPPUNIT_ASSERT_EQUAL(1, m_errors);
+    CPPUNIT_ASSERT(m_plane->directory().entries().empty());
+    Run(kSecond);
+    CPPUNIT_ASSERT(SubmitNow(1) == OutcomeKind::kAccepted);
+  }
+
+  void WithoutAQuorumCallersAreTurnedAwayAtOnce() {
+    // Another replica joins, and is never heard again.
+    TestCluster other(3, 2);
+    other.settings.open_membership = true;
+    other.settings.contacts = {NodeId{1}};
+    other.Start(NodeId{2});
+    for (int step = 0; step < 300; ++step) {
+      Run(milliseconds(10));
+      Exchange(&other);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_plane->Status(m_now).members.size());
+    Run(2 * kSecond);
+    std::optional<Outcome> outcome;
+    m_plane->Submit(
+        MakeDocument(9), [&](const Outcome& o) { outcome = o; }, m_now);
+    CPPUNIT_ASSERT(outcome.has_value());
+    CPPUNIT_ASSERT(outcome->kind == OutcomeKind::kUnknown);
+  }
+
+  void FloodOfOneEventLeavesTheOthers() {
+    LogBudget budget(LogBudgetSettings{});
+    int written = 0;
+    for (int i = 0; i < 10'000; ++i) {
+      written += budget.Take("flood", m_now + milliseconds(i)) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(written >= 130 && written <= 145);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(10'000 - written),
+                         budget.TakeLeftOut("flood"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, budget.TakeLeftOut("flood"));
+    CPPUNIT_ASSERT(budget.Take("rare", m_now));
+    budget.Lose("rare");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, budget.TakeLeftOut("rare"));
+  }
+
+ private:
+  static Document MakeDocument(std::uint64_t version) {
+    return {ConfigVersion{version}, std::make_shared<const Bytes>(Bytes{1})};
+  }
+
+  void Start(bool is_first) {
+    ControlPlaneSettings settings;
+    settings.replica.self = NodeId{1};
+    settings.replica.contacts = {NodeId{1}};
+    settings.replica.bootstrap = is_first;
+    settings.replica.open_membership = true;
+    settings.feed.self = NodeId{1};
+    settings.feed.counts_covered_time = false;
+    settings.epoch = m_random();
+    ControlPlane::Hooks hooks;
+    hooks.random = [this] { return m_random(); };
+    hooks.open_files = [this] { return m_disk.Hooks(); };
+    hooks.read_routes = [](const Document& document) -> Result<RouteTable> {
+      RouteTable table;
+      table.version = document.version;
+      return table;
+    };
+    hooks.send = [this](const Outbox& messages) {
+      m_sent.insert(m_sent.end(), messages.begin(), messages.end());
+    };
+    hooks.on_role = [](ReplicaRole) {};
+    hooks.on_routes = [this](const RouteTable& routes) {
+      m_routes_version = routes.version.value;
+    };
+    hooks.on_error = [this](const Error&) { ++m_errors; };
+    m_plane = std::make_unique<ControlPlane>(settings, hooks);
+    CPPUNIT_ASSERT(m_plane->Start(m_now).has_value());
+    Run(milliseconds(100));
+  }
+
+  void Run(Duration span) {
+    const TimePoint end = m_now + span;
+    for (; m_now < end; m_now += milliseconds(10)) m_plane->OnTick(m_now);
+  }
+
+  OutcomeKind SubmitNow(std::uint64_t version) {
+    std::optional<Outcome> outcome;
+    m_plane->Submit(
+        MakeDocument(version), [&](const Outcome& o) { outcome = o; }, m_now);
+    Run(kSecond);
+    CPPUNIT_ASSERT(outcome.has_value());
+    return outcome->kind;
+  }
+
+  // Carries messages between this plane and replica 2.
+  void Exchange(TestCluster* other) {
+    TestNode& node = other->nodes[NodeId{2}];
+    for (const OutgoingMessage& message : std::exchange(m_sent, {})) {
+      if (message.kind != MessageKind::kAgreement) continue;
+      if (message.to != NodeId{2}) continue;
+      Deliver(node.replica->OnMessage(NodeId{1}, message.body, m_now));
+    }
+    Deliver(node.replica->OnTick(m_now));
+    while (node.replica->NeedsSync()) Deliver(node.replica->Sync(m_now));
+  }
+  void Deliver(const ReplicaOutput& output) {
+    for (const OutgoingMessage& message : output.messages) {
+      m_plane->OnMessage(NodeId{2}, message.kind, message.body, m_now);
+    }
+    m_plane->Flush(m_now);
+  }
+
+  TimePoint m_now{std::chrono::seconds(10)};
+  std::mt19937_64 m_random{5};
+  MemoryDisk m_disk;
+  Outbox m_sent;
+  std::uint64_t m_routes_version = 0;
+  int m_errors = 0;
+  std::unique_ptr<ControlPlane> m_plane;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ControlPlaneTest);
+
+}  // namespace
+}  // namespace sardinelead
--- /dev/null
+++ b/tests/cookie_balancer_test.cc
@@ -0,0 +1,399 @@
+#include "sardinelead/cookie_balancer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+#include "packet_hold.h"
+
+namespace sardinelead {
+namespace {
+
+using std::chrono::milliseconds;
+constexpr Duration kSecond = std::chrono::seconds(1);
+const Endpoint kService = *Endpoint::Parse("198.18.0.1:8443");
+const Endpoint kNotes = *Endpoint::Parse("198.18.0.1:8080");
+
+class CookieBalancerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CookieBalancerTest);
+  CPPUNIT_TEST(AnyBalancerForwardsByTheCookie);
+  CPPUNIT_TEST(PacketsNameTheTargetAlsoAfterAddressReuse);
+  CPPUNIT_TEST(RestartUnderTheSameNumberKeepsTheCookie);
+  CPPUNIT_TEST(UnknownCookieIsHeldNotReset);
+  CPPUNIT_TEST(UnansweredOpeningPacketGoesToAnotherTarget);
+  CPPUNIT_TEST(LateAnswerOfASecondTargetDoesNotMoveTheFlow);
+  CPPUNIT_TEST(CopiesOfAnOpeningPacketGoElsewhere);
+  CPPUNIT_TEST(FlowsOfALostTargetAreReset);
+  CPPUNIT_TEST(NonIdempotentRequestsUnderWayAreNotReset);
+  CPPUNIT_TEST(AStalledBalancerDoesNotJudge);
+  CPPUNIT_TEST(DrainingAndSilentTargetsTakeNoNewFlows);
+  CPPUNIT_TEST(EndedTargetResetsAfterItsGrace);
+  CPPUNIT_TEST(NewFlowsWithoutARouteAreRefusedAtOnce);
+  CPPUNIT_TEST(RemovedRouteEndsItsFlowsUnknownOneDoesNot);
+  CPPUNIT_TEST(OlderRoutesAreIgnored);
+  CPPUNIT_TEST(GatheringBalancerHoldsPackets);
+  CPPUNIT_TEST(ForgetsIdleFlows);
+  CPPUNIT_TEST(HoldIsBounded);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    SetRoutes(1, {kService, kNotes});
+    AddTarget(1, "10.0.0.1:80", 100);
+    AddTarget(2, "10.0.0.2:80", 100);
+    m_balancer.OnPulse(m_now);
+  }
+
+  void AnyBalancerForwardsByTheCookie() {
+    const Forwarding opened = m_balancer.OnPacket(Opening(1), kSyn, m_now);
+    CPPUNIT_ASSERT(opened.action == ForwardAction::kForward);
+    CPPUNIT_ASSERT_EQUAL(CookieOf(opened.target), opened.cookie);
+    CookieBalancer other = MakeBalancer();
+    other.SetRoutes(m_routes);
+    const Forwarding next =
+        other.OnPacket(Data(1, opened.cookie, 1), {}, m_now);
+    CPPUNIT_ASSERT(next.action == ForwardAction::kForward);
+    CPPUNIT_ASSERT_EQUAL(opened.target, next.target);
+    CPPUNIT_ASSERT(next.address == opened.address);
+    CPPUNIT_ASSERT_EQUAL(opened.cookie, next.cookie);
+  }
+
+  // The old flow's packets go on under the old number, which the target that
+  // has the address now does not take.
+  void PacketsNameTheTargetAlsoAfterAddressReuse() {
+    AddTarget(9, "10.0.0.1:80", 500, "gallery");
+    const Forwarding next =
+        m_balancer.OnPacket(Data(1, CookieOf(1), 1), {}, m_now);
+    CPPUNIT_ASSERT(next.action == ForwardAction::kForward);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, next.target);
+    for (std::uint16_t port = 100; port < 150; ++port) {
+      const Forwarding opened = m_balancer.OnPacket(Opening(port), kSyn, m_now);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, opened.target);
+    }
+  }
+
+  void RestartUnderTheSameNumberKeepsTheCookie() {
+    AddTarget(1, "10.0.0.1:80", 900);
+    const Forwarding next =
+        m_balancer.OnPacket(Data(1, CookieOf(1), 1), {}, m_now);
+    CPPUNIT_ASSERT(next.action == ForwardAction::kForward);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, next.target);
+  }
+
+  void UnknownCookieIsHeldNotReset() {
+    const Forwarding unknown =
+        m_balancer.OnPacket(Data(1, CookieOf(77), 1), {}, m_now);
+    CPPUNIT_ASSERT(unknown.action == ForwardAction::kHold);
+    const Forwarding none = m_balancer.OnPacket(Data(1, 0, 1), {}, m_now);
+    CPPUNIT_ASSERT(none.action == ForwardAction::kDrop);
+  }
+
+  void UnansweredOpeningPacketGoesToAnotherTarget() {
+    const Forwarding first = m_balancer.OnPacket(Opening(1), kSyn, m_now);
+    CPPUNIT_ASSERT(m_balancer.OnTick(m_now + milliseconds(59)).empty());
+    CPPUNIT_ASSERT(m_balancer.NextTick() == m_now + milliseconds(60));
+    const auto due = m_balancer.OnTick(m_now + milliseconds(60));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, due.size());
+    CPPUNIT_ASSERT(due[0].target != first.target);
+    CPPUNIT_ASSERT(due[0].held == kSyn);
+    // Once only: the caller's own copies come next.
+    CPPUNIT_ASSERT(m_balancer.OnTick(m_now + kSecond).empty());
+    // An answered one is not sent again.
+    const Forwarding other = m_balancer.OnPacket(Opening(2), kSyn, m_now);
+    m_balancer.OnPacket(Data(2, other.cookie, 1), {}, m_now);
+    CPPUNIT_ASSERT(m_balancer.OnTick(m_now + kSecond).empty());
+  }
+
+  void LateAnswerOfASecondTargetDoesNotMoveTheFlow() {
+    const Forwarding first = m_balancer.OnPacket(Opening(1), kSyn, m_now);
+    const std::uint64_t second =
+        m_balancer.OnTick(m_now + milliseconds(60))[0].target;
+    m_now += milliseconds(70);
+    m_balancer.OnPacket(Data(1, first.cookie, 1), {}, m_now);
+    const Forwarding next =
+        m_balancer.OnPacket(Data(1, CookieOf(second), 2), {}, m_now);
+    CPPUNIT_ASSERT_EQUAL(first.target, next.target);
+    CPPUNIT_ASSERT_EQUAL(first.cookie, next.cookie);
+  }
+
+  void CopiesOfAnOpeningPacketGoElsewhere() {
+    const Forwarding first = m_balancer.OnPacket(Opening(1), kSyn, m_now);
+    m_now += milliseconds(200);
+    const Forwarding copy = m_balancer.OnPacket(Opening(1), kSyn, m_now);
+    CPPUNIT_ASSERT(copy.reason == ForwardReason::kPlacedAgain);
+    CPPUNIT_ASSERT(copy.target != first.target);
+  }
+
+  void FlowsOfALostTargetAreReset() {
+    const std::uint32_t cookie = CookieOf(1);
+    for (std::uint16_t port = 1; port <= 4; ++port) OpenAt(port, kService, 1);
+    Request(1, cookie);
+    Request(2, cookie);
+    m_now += milliseconds(200);
+    Pulse();
+    CPPUNIT_ASSERT(Repeat(1, cookie).action == ForwardAction::kForward);
+    CPPUNIT_ASSERT(m_balancer.TakeResets().empty());
+    Repeat(2, cookie);
+    // Both that repeat and the two that are idle.
+    const auto resets = m_balancer.TakeResets();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, resets.size());
+    for (const Forwarding& reset : resets) {
+      CPPUNIT_ASSERT(reset.action == ForwardAction::kReset);
+      CPPUNIT_ASSERT(reset.reason == ForwardReason::kTargetLost);
+      CPPUNIT_ASSERT_EQUAL(kAcknowledged, reset.reset_sequence);
+    }
+    for (std::uint16_t port = 100; port < 120; ++port) {
+      const Forwarding opened = m_balancer.OnPacket(Opening(port), kSyn, m_now);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, opened.target);
+    }
+  }
+
+  void NonIdempotentRequestsUnderWayAreNotReset() {
+    const std::uint32_t cookie = CookieOf(1);
+    OpenAt(1, kNotes, 1);
+    OpenAt(2, kNotes, 1);
+    Request(1, cookie, kNotes);
+    Request(2, cookie, kNotes);
+    m_now += milliseconds(200);
+    Pulse();
+    Repeat(1, cookie, kNotes);
+    Repeat(2, cookie, kNotes);
+    CPPUNIT_ASSERT(m_balancer.TakeResets().empty());
+    m_now += milliseconds(400);
+    Pulse();
+    CPPUNIT_ASSERT(Repeat(1, cookie, kNotes).action == ForwardAction::kForward);
+  }
+
+  void AStalledBalancerDoesNotJudge() {
+    const std::uint32_t cookie = CookieOf(1);
+    OpenAt(1, kService, 1);
+    OpenAt(2, kService, 1);
+    Request(1, cookie);
+    Request(2, cookie);
+    m_now += 4 * kSecond;  // Frozen; then everything comes at once.
+    m_balancer.OnPulse(m_now);
+    for (std::uint16_t port = 1; port <= 2; ++port) {
+      for (int i = 0; i < 3; ++i) Repeat(port, cookie);
+    }
+    CPPUNIT_ASSERT(m_balancer.TakeResets().empty());
+    CPPUNIT_ASSERT(!m_balancer.placement().IsLost(1));
+  }
+
+  void DrainingAndSilentTargetsTakeNoNewFlows() {
+    TargetNews draining = m_directory.Find(1)->news;
+    draining.state = AnnouncedState::kDraining;
+    ++draining.sequence;
+    m_directory.Take(draining, m_now);
+    AssertOnlyTarget(2);
+    AddTarget(3, "10.0.0.3:80", 100);
+    m_now += 4 * kSecond;  // Target 2 said nothing since.
+    AddTarget(4, "10.0.0.4:80", 100);
+    AssertOnlyTarget(4);
+    // A flow that a draining target has goes on.
+    const Forwarding next =
+        m_balancer.OnPacket(Data(1, CookieOf(1), 1), {}, m_now);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, next.target);
+  }
+
+  void EndedTargetResetsAfterItsGrace() {
+    TargetNews ended = m_directory.Find(1)->news;
+    ended.state = AnnouncedState::kEnded;
+    ++ended.sequence;
+    m_directory.Take(ended, m_now);
+    const FlowPacket packet = Data(1, CookieOf(1), 1);
+    m_now += milliseconds(1500);
+    CPPUNIT_ASSERT(m_balancer.OnPacket(packet, {}, m_now).action ==
+                   ForwardAction::kForward);
+    m_now += milliseconds(1);
+    const Forwarding late = m_balancer.OnPacket(packet, {}, m_now);
+    CPPUNIT_ASSERT(late.action == ForwardAction::kReset);
+    CPPUNIT_ASSERT(late.reason == ForwardReason::kTargetEnded);
+  }
+
+  void NewFlowsWithoutARouteAreRefusedAtOnce() {
+    FlowPacket packet = Opening(1);
+    packet.flow.service.port = 9;
+    const Forwarding refused = m_balancer.OnPacket(packet, kSyn, m_now);
+    CPPUNIT_ASSERT(refused.action == ForwardAction::kReset);
+    CPPUNIT_ASSERT(refused.reason == ForwardReason::kNoRoute);
+  }
+
+  void RemovedRouteEndsItsFlowsUnknownOneDoesNot() {
+    SetRoutes(2, {kService});
+    FlowPacket removed = Data(1, CookieOf(1), 1, kNotes);
+    CPPUNIT_ASSERT(m_balancer.OnPacket(removed, {}, m_now).reason ==
+                   ForwardReason::kRouteRemoved);
+    // Another balancer may have newer routes in which this flow is open.
+    FlowPacket unknown = removed;
+    unknown.flow.service.port = 9;
+    CPPUNIT_ASSERT(m_balancer.OnPacket(unknown, {}, m_now).action ==
+                   ForwardAction::kDrop);
+    SetRoutes(3, {kService, kNotes});
+    CPPUNIT_ASSERT(m_balancer.OnPacket(removed, {}, m_now).action ==
+                   ForwardAction::kForward);
+  }
+
+  void OlderRoutesAreIgnored() {
+    SetRoutes(5, {kService, kNotes});
+    SetRoutes(4, {kService});
+    CPPUNIT_ASSERT(
+        m_balancer.OnPacket(Opening(1, kNotes), kSyn, m_now).action ==
+        ForwardAction::kForward);
+  }
+
+  void GatheringBalancerHoldsPackets() {
+    CookieBalancer fresh = MakeBalancer();
+    CPPUNIT_ASSERT(fresh.OnPacket(Opening(1), kSyn, m_now).action ==
+                   ForwardAction::kHold);
+    m_directory = TargetDirectory();
+    m_is_gathering = true;
+    CPPUNIT_ASSERT(m_balancer.OnPacket(Opening(1), kSyn, m_now).action ==
+                   ForwardAction::kHold);
+    m_is_gathering = false;
+    const Forwarding refused = m_balancer.OnPacket(Opening(1), kSyn, m_now);
+    CPPUNIT_ASSERT(refused.action == ForwardAction::kReset);
+    CPPUNIT_ASSERT(refused.reason == ForwardReason::kNoTarget);
+  }
+
+  void ForgetsIdleFlows() {
+    OpenAt(1, kService, 1);
+    Request(1, CookieOf(1));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1},
+                         m_balancer.placement().Find(1)->open);
+    m_balancer.Sweep(m_now + 21 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_balancer.flow_count());
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0},
+                         m_balancer.placement().Find(1)->open);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0},
+                         m_balancer.placement().Find(1)->waiting);
+  }
+
+  void HoldIsBounded() {
+    PacketHoldSettings settings;
+    settings.max_packets = 2;
+    PacketHold hold(settings);
+    for (std::uint8_t i = 0; i < 3; ++i) hold.Add(Bytes{i}, m_now);
+    auto taken = hold.TakeAll(m_now);
+    CPPUNIT_ASSERT(taken == std::vector<Bytes>({{1}, {2}}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hold.dropped());
+    hold.Add(Bytes{7}, m_now);
+    CPPUNIT_ASSERT(hold.TakeAll(m_now + 2 * kSecond).empty());
+  }
+
+ private:
+  static constexpr std::uint32_t kAcknowledged = 5000;
+  static constexpr std::uint32_t kSequence = 1000;
+  const Bytes kSyn = {1, 2, 3};
+
+  CookieBalancer MakeBalancer() {
+    CookieBalancerSettings settings;
+    settings.data_centre = "a";
+    return CookieBalancer(
+        settings, &m_directory,
+        {[this] { return m_random(); }, [this] { return m_now; },
+         [] { return std::size_t{1}; }, [this] { return m_is_gathering; }});
+  }
+
+  void SetRoutes(std::uint64_t version,
+                 const std::vector<Endpoint>& addresses) {
+    auto table = std::make_shared<RouteTable>();
+    table->version = ConfigVersion{version};
+    table->pools = {{"orders", "/health", 0}, {"gallery", "/health", 0}};
+    for (const Endpoint& address : addresses) {
+      Route route;
+      route.address = address;
+      route.kind = address == kNotes ? RequestKind::kNonIdempotent
+                                     : RequestKind::kIdempotent;
+      route.pools = {{"orders", 1}};
+      table->routes.push_back(route);
+    }
+    table->BuildIndex();
+    m_routes = table;
+    m_balancer.SetRoutes(m_routes);
+  }
+
+  void AddTarget(std::uint64_t number, const char* address,
+                 std::uint64_t started, const char* pool = "orders") {
+    TargetNews news;
+    news.number = number;
+    news.started_ms = started;
+    news.sequence = 1;
+    news.pool = pool;
+    news.address = *Endpoint::Parse(address);
+    news.data_centre = "a";
+    m_directory.Take(news, m_now);
+  }
+
+  static FlowKey KeyOf(std::uint16_t port, const Endpoint& service) {
+    FlowKey key;
+    key.caller = {IpAddress::FromV4(0x64400001), port};
+    key.service = service;
+    return key;
+  }
+
+  static FlowPacket Opening(std::uint16_t port,
+                            const Endpoint& service = kService) {
+    FlowPacket packet;
+    packet.flow = KeyOf(port, service);
+    packet.opens = true;
+    packet.sequence = kSequence;
+    return packet;
+  }
+
+  static FlowPacket Data(std::uint16_t port, std::uint32_t cookie,
+                         std::uint16_t length,
+                         const Endpoint& service = kService) {
+    FlowPacket packet;
+    packet.flow = KeyOf(port, service);
+    packet.acknowledges = true;
+    packet.acknowledged = kAcknowledged;
+    packet.sequence = kSequence;
+    packet.cookie = cookie;
+    packet.length = length;
+    return packet;
+  }
+
+  // A flow that this balancer learns of in its course.
+  void OpenAt(std::uint16_t port, const Endpoint& service,
+              std::uint64_t target) {
+    m_balancer.OnPacket(Data(port, CookieOf(target), 0, service), {}, m_now);
+    m_now += milliseconds(1);
+  }
+  void Request(std::uint16_t port, std::uint32_t cookie,
+               const Endpoint& service = kService) {
+    m_balancer.OnPacket(Data(port, cookie, 300, service), {}, m_now);
+  }
+  Forwarding Repeat(std::uint16_t port, std::uint32_t cookie,
+                    const Endpoint& service = kService) {
+    return m_balancer.OnPacket(Data(port, cookie, 300, service), {}, m_now);
+  }
+  // As if the process had run all the time.
+  void Pulse() {
+    for (; m_pulsed_at <= m_now; m_pulsed_at += milliseconds(50)) {
+      m_balancer.OnPulse(m_pulsed_at);
+    }
+  }
+
+  void AssertOnlyTarget(std::uint64_t number) {
+    for (int i = 0; i < 20; ++i) {
+      m_now += milliseconds(10);
+      const Forwarding opened =
+          m_balancer.OnPacket(Opening(m_next_port++), kSyn, m_now);
+      CPPUNIT_ASSERT_EQUAL(number, opened.target);
+    }
+  }
+
+  TimePoint m_now{std::chrono::seconds(100)};
+  std::mt19937_64 m_random{11};
+  bool m_is_gathering = false;
+  std::uint16_t m_next_port = 1000;
+  TimePoint m_pulsed_at = m_now;
+  TargetDirectory m_directory;
+  RouteTablePtr m_routes;
+  CookieBalancer m_balancer = MakeBalancer();
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CookieBalancerTest);
+
+}  // namespace
+}  // namespace sardinelead
--- /dev/null
+++ b/tests/flow_placement_test.cc
@@ -0,0 +1,216 @@
+// Each test is a load that balancers meet.
+
+#include "sardinelead/flow_placement.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <random>
+
+namespace sardinelead {
+namespace {
+
+using std::chrono::milliseconds;
+
+PlacementTarget MakeTarget(std::uint64_t number, bool is_local = true,
+                           std::uint32_t slots = 3, bool is_cold = false) {
+  PlacementTarget target;
+  target.number = number;
+  target.slots = slots;
+  target.is_local = is_local;
+  target.is_cold = is_cold;
+  return target;
+}
+
+class FlowPlacementTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FlowPlacementTest);
+  CPPUNIT_TEST(EvenFlowsOverSlots);
+  CPPUNIT_TEST(LocalTargetsGoFirst);
+  CPPUNIT_TEST(OtherDataCentresHelpWhenSlotsAreFull);
+  CPPUNIT_TEST(NobodyLeftHere);
+  CPPUNIT_TEST(SlowTargetsGetLess);
+  CPPUNIT_TEST(ColdTargetGetsLess);
+  CPPUNIT_TEST(TargetThatEndedWithoutAWordIsAvoided);
+  CPPUNIT_TEST(SuspectIsTriedNowAndThen);
+  CPPUNIT_TEST(AllSilentStillChooses);
+  CPPUNIT_TEST(RepeatsOfTwoFlowsShowALostTarget);
+  CPPUNIT_TEST(OneLostPacketShowsNothing);
+  CPPUNIT_TEST(RepeatsWhileTheTargetAnswersShowNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  std::uint64_t Open(const std::vector<PlacementTarget>& targets,
+                     std::size_t balancers = 1) {
+    const auto chosen =
+        m_placement.Choose(targets, {}, balancers, m_random(), m_now);
+    CPPUNIT_ASSERT(chosen.has_value());
+    m_placement.OnOpening(*chosen, m_now);
+    return *chosen;
+  }
+
+  std::map<std::uint64_t, int> OpenMany(
+      const std::vector<PlacementTarget>& targets, int count) {
+    std::map<std::uint64_t, int> flows;
+    for (int i = 0; i < count; ++i) {
+      const std::uint64_t target = Open(targets);
+      m_placement.OnOpened(target, true, m_now);
+      ++flows[target];
+    }
+    return flows;
+  }
+
+  void EvenFlowsOverSlots() {
+    auto flows = OpenMany({MakeTarget(1, true, 2), MakeTarget(2, true, 2),
+                           MakeTarget(3, true, 4)},
+                          800);
+    CPPUNIT_ASSERT(flows[1] >= 198 && flows[1] <= 202);
+    CPPUNIT_ASSERT(flows[2] >= 198 && flows[2] <= 202);
+    CPPUNIT_ASSERT(flows[3] >= 398 && flows[3] <= 402);
+  }
+
+  void LocalTargetsGoFirst() {
+    auto flows = OpenMany({MakeTarget(1), MakeTarget(2, false)}, 100);
+    CPPUNIT_ASSERT_EQUAL(100, flows[1]);
+  }
+
+  // A burst in one data centre: more requests wait than its targets have slots.
+  void OtherDataCentresHelpWhenSlotsAreFull() {
+    const std::vector<PlacementTarget> targets = {MakeTarget(1),
+                                                  MakeTarget(2, false)};
+    OpenMany(targets, 3);
+    for (int i = 0; i < 3; ++i) m_placement.OnRequest(1);
+    auto flows = OpenMany(targets, 100);
+    CPPUNIT_ASSERT(flows[2] > 30 && flows[2] < 70);
+    for (int i = 0; i < 2; ++i) m_placement.OnAnswer(1, true, m_now);
+    flows = OpenMany(targets, 100);
+    CPPUNIT_ASSERT_EQUAL(100, flows[1]);
+    // The same work at each of three balancers fills the slots, too.
+    m_placement.OnRequest(1);
+    int remote = 0;
+    for (int i = 0; i < 100; ++i) {
+      const auto chosen = m_placement.Choose(targets, {}, 3, m_random(), m_now);
+      remote += *chosen == 2 ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(remote > 30);
+  }
+
+  void NobodyLeftHere() {
+    auto flows = OpenMany({MakeTarget(1, false), MakeTarget(2, false)}, 100);
+    CPPUNIT_ASSERT(flows[1] >= 49 && flows[1] <= 51);
+    CPPUNIT_ASSERT(
+        !m_placement.Choose({}, {}, 1, m_random(), m_now).has_value());
+  }
+
+  // Requests at target 1 take five times as long, so more of them wait there.
+  void SlowTargetsGetLess() {
+    const std::vector<PlacementTarget> targets = {MakeTarget(1), MakeTarget(2),
+                                                  MakeTarget(3)};
+    OpenMany(targets, 30);
+    for (int i = 0; i < 5; ++i) m_placement.OnRequest(1);
+    m_placement.OnRequest(2);
+    m_placement.OnRequest(3);
+    auto flows = OpenMany(targets, 30);
+    CPPUNIT_ASSERT_EQUAL(0, flows[1]);
+  }
+
+  void ColdTargetGetsLess() {
+    auto flows = OpenMany({MakeTarget(1), MakeTarget(2, true, 3, true)}, 160);
+    CPPUNIT_ASSERT(flows[2] >= 58 && flows[2] <= 62);
+  }
+
+  void TargetThatEndedWithoutAWordIsAvoided() {
+    const std::vector<PlacementTarget> targets = {MakeTarget(1), MakeTarget(2)};
+    const std::uint64_t dead = Open(targets);
+    m_now += milliseconds(61);
+    for (int i = 0; i < 50; ++i) {
+      const std::uint64_t chosen = Open(targets);
+      CPPUNIT_ASSERT(chosen != dead);
+      m_placement.OnOpened(chosen, true, m_now);
+    }
+    m_placement.OnOpened(dead, true, m_now);
+    CPPUNIT_ASSERT(!m_placement.IsSuspect(dead, m_now));
+  }
+
+  void SuspectIsTriedNowAndThen() {
+    const std::vector<PlacementTarget> targets = {MakeTarget(1), MakeTarget(2)};
+    const std::uint64_t dead = Open(targets);
+    int tries = 0;
+    for (int i = 0; i < 300; ++i) {
+      m_now += milliseconds(10);
+      const std::uint64_t chosen = Open(targets);
+      if (chosen == dead) {
+        ++tries;
+      } else {
+        m_placement.OnOpened(chosen, true, m_now);
+      }
+    }
+    CPPUNIT_ASSERT(tries >= 3 && tries <= 12);
+  }
+
+  // As when this balancer is cut off: it goes on with what it has.
+  void AllSilentStillChooses() {
+    const std::vector<PlacementTarget> targets = {MakeTarget(1), MakeTarget(2)};
+    Open(targets);
+    Open(targets);
+    for (int i = 0; i < 10; ++i) {
+      m_now += milliseconds(100);
+      Open(targets);
+    }
+  }
+
+  void RepeatsOfTwoFlowsShowALostTarget() {
+    OpenMany({MakeTarget(1)}, 2);
+    m_now += milliseconds(10);
+    const TimePoint sent = m_now;
+    m_now += milliseconds(200);
+    CPPUNIT_ASSERT(!m_placement.OnRepeat(1, sent, m_now));
+    CPPUNIT_ASSERT(m_placement.OnRepeat(1, sent, m_now));
+    CPPUNIT_ASSERT(m_placement.IsLost(1));
+    CPPUNIT_ASSERT(m_placement.IsSuspect(1, m_now));
+    // Told once, and over with the first answer.
+    CPPUNIT_ASSERT(!m_placement.OnRepeat(1, sent, m_now));
+    m_placement.OnRequest(1);
+    m_placement.OnAnswer(1, true, m_now);
+    CPPUNIT_ASSERT(!m_placement.IsLost(1));
+  }
+
+  void OneLostPacketShowsNothing() {
+    OpenMany({MakeTarget(1)}, 2);
+    m_now += milliseconds(10);
+    const TimePoint sent = m_now;
+    m_now += milliseconds(200);
+    CPPUNIT_ASSERT(!m_placement.OnRepeat(1, sent, m_now));
+    m_placement.OnRequest(1);
+    m_placement.OnAnswer(1, true, m_now);
+    m_now += milliseconds(400);
+    CPPUNIT_ASSERT(!m_placement.OnRepeat(1, sent, m_now));
+    CPPUNIT_ASSERT(!m_placement.IsLost(1));
+  }
+
+  // Busy targets acknowledge at once; packets out of order are no repeats.
+  void RepeatsWhileTheTargetAnswersShowNothing() {
+    OpenMany({MakeTarget(1)}, 2);
+    const TimePoint sent = m_now + milliseconds(1);
+    m_now += milliseconds(20);
+    for (int i = 0; i < 10; ++i) {
+      CPPUNIT_ASSERT(!m_placement.OnRepeat(1, sent, m_now));
+    }
+    for (int i = 0; i < 10; ++i) {
+      m_now += milliseconds(200);
+      const TimePoint asked = m_now - milliseconds(190);
+      m_placement.OnRequest(1);
+      m_placement.OnAnswer(1, true, m_now - milliseconds(20));
+      CPPUNIT_ASSERT(!m_placement.OnRepeat(1, asked, m_now));
+    }
+  }
+
+ private:
+  TimePoint m_now{std::chrono::seconds(10)};
+  std::mt19937_64 m_random{7};
+  FlowPlacement m_placement{PlacementSettings{}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FlowPlacementTest);
+
+}  // namespace
+}  // namespace sardinelead
--- /dev/null
+++ b/tests/platform_codec_test.cc
@@ -0,0 +1,315 @@
+// Each decoder of platform/ against input that is whole, cut short, mistyped
+// and alien.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <nlohmann/json.hpp>
+
+#include "boot_settings.h"
+#include "config_codec.h"
+#include "packet_codec.h"
+#include "target_codec.h"
+
+namespace sardinelead {
+namespace {
+
+using nlohmann::json;
+
+json MakeBoot() {
+  return {{"nodeName", "edge-a-1"},
+          {"role", "edge"},
+          {"ip", "10.1.0.10"},
+          {"zone", "luzon-a"},
+          {"listen",
+           {{"datagramAddr", "10.1.0.10:8172"}, {"ready", "10.1.0.10:8167"}}},
+          {"internalPorts", {7720, 7735}},
+          {"seeds", {"10.1.0.12:8166", "10.2.0.42:8166"}},
+          {"bootstrap", true},
+          {"dataDir", nullptr},
+          {"heartbeatMs", 770},
+          {"tolerate", {{"machines", 1}, {"zones", 1}}},
+          {"bounds", {{"graceS", 6}, {"drainMs", 3000}}}};
+}
+
+json MakeHeartbeat() {
+  return {{"service", "huvo11a"},
+          {"address", "10.128.0.9:8080"},
+          {"zone", "pkc-a"},
+          {"version", "v1"},
+          {"slots", 2},
+          {"state", "ready"},
+          {"warmupLeftMs", 1500},
+          {"sequence", 4},
+          {"born", 1'790'000'000'123}};
+}
+
+json MakeConfig() {
+  return json::parse(
+      R"({"version":7,"routes":[
+      {"name":"r-1","hostname":"198.18.0.1","pathPrefix":"/8080/",
+       "type":"non_idempotent","timeoutMs":3000,"targetLatencyMs":200,
+       "priority":1,"service":"huvo11a","maxAttempts":2},
+      {"name":"r-2","hostname":"198.18.0.1","pathPrefix":"/8443/",
+       "type":"idempotent","timeoutMs":2500,"targetLatencyMs":150,"priority":2,
+       "targets":[{"service":"huvo11a","weight":90},
+                  {"service":"wuno96b","weight":10}],"maxAttempts":2}],
+      "services":[
+      {"name":"huvo11a","healthPath":"/health","maxConns":2000},
+      {"name":"wuno96b","healthPath":"/health","maxConns":2000}],
+      "limits":{"maxHeaderBytes":16384,"idleTimeoutMs":12000}})");
+}
+
+// The opening packet of the platform's pages.
+const Bytes kSyn = {0x11, 0x22, 0x33, 0x44, 0x00, 0x00, 0x00, 0x00,
+                    0xa1, 0xb2, 0xc3, 0xd5, 0x00, 0x00, 0x40, 0x00,
+                    0x00, 0x00, 0x00, 0x00, 0x9c, 0x41, 0x64, 0x40,
+                    0x00, 0x07, 0x01, 0xbb, 0xc6, 0x12, 0x00, 0x01};
+
+class PlatformCodecTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformCodecTest);
+  CPPUNIT_TEST(ReadsSettings);
+  CPPUNIT_TEST(SettingsErrorsNameTheKey);
+  CPPUNIT_TEST(ReadsAnOpeningPacket);
+  CPPUNIT_TEST(RefusesPacketsThatAreNotWhole);
+  CPPUNIT_TEST(WritesTargetAndCookieOnly);
+  CPPUNIT_TEST(WritesResets);
+  CPPUNIT_TEST(ReadsHeartbeats);
+  CPPUNIT_TEST(HeartbeatErrorsNameTheKey);
+  CPPUNIT_TEST(ReadsTargetIds);
+  CPPUNIT_TEST(ReadsDepartures);
+  CPPUNIT_TEST(ReadsConfigurations);
+  CPPUNIT_TEST(ConfigurationErrorsNameTheKey);
+  CPPUNIT_TEST(CutTextIsRefused);
+  CPPUNIT_TEST(DocumentsKeepTheOperatorsText);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReadsSettings() {
+    const auto settings = DecodeBootSettings(MakeBoot().dump());
+    CPPUNIT_ASSERT(settings.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("luzon-a"), settings->data_centre);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.10:8172"),
+                         settings->packets->ToString());
+    CPPUNIT_ASSERT(!settings->control.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{7720}, settings->internal_port);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, settings->control_vms.size());
+    CPPUNIT_ASSERT(settings->is_first_start);
+    CPPUNIT_ASSERT(settings->data_folder.empty());
+    CPPUNIT_ASSERT(settings->target_heartbeat ==
+                   std::chrono::milliseconds(770));
+    CPPUNIT_ASSERT(settings->shutdown_grace == std::chrono::seconds(6));
+    json boot = MakeBoot();
+    boot["someNewField"] = {1, 2};
+    boot["dataDir"] = "/data/x";
+    CPPUNIT_ASSERT_EQUAL(std::string("/data/x"),
+                         DecodeBootSettings(boot.dump())->data_folder);
+  }
+
+  template <typename Decode>
+  static void AssertRefused(const json& value, const std::string& path,
+                            Decode decode) {
+    const auto read = decode(value.dump());
+    CPPUNIT_ASSERT_MESSAGE(path, !read.has_value());
+    CPPUNIT_ASSERT_EQUAL(path, read.error().path);
+  }
+
+  void SettingsErrorsNameTheKey() {
+    for (const char* key :
+         {"nodeName", "ip", "zone", "listen", "internalPorts", "seeds",
+          "bootstrap", "heartbeatMs", "tolerate", "bounds"}) {
+      json missing = MakeBoot();
+      missing.erase(key);
+      AssertRefused(missing, key, DecodeBootSettings);
+      json mistyped = MakeBoot();
+      mistyped[key] = json::array({json::object()});
+      AssertRefused(mistyped, key, DecodeBootSettings);
+    }
+    json address = MakeBoot();
+    address["listen"]["ready"] = "nowhere";
+    AssertRefused(address, "listen.ready", DecodeBootSettings);
+    json ports = MakeBoot();
+    ports["internalPorts"] = {7735, 7720};
+    AssertRefused(ports, "internalPorts", DecodeBootSettings);
+  }
+
+  void ReadsAnOpeningPacket() {
+    const auto packet = DecodePacket(kSyn);
+    CPPUNIT_ASSERT(packet.has_value());
+    CPPUNIT_ASSERT(packet->opens && !packet->acknowledges);
+    CPPUNIT_ASSERT(!packet->finishes && !packet->resets);
+    CPPUNIT_ASSERT_EQUAL(std::string("100.64.0.7:40001"),
+                         packet->flow.caller.ToString());
+    CPPUNIT_ASSERT_EQUAL(std::string("198.18.0.1:443"),
+                         packet->flow.service.ToString());
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0x11223344}, packet->sequence);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, packet->cookie);
+  }
+
+  void RefusesPacketsThatAreNotWhole() {
+    for (std::size_t size = 0; size < kSyn.size(); ++size) {
+      CPPUNIT_ASSERT(!DecodePacket(ByteView(kSyn.data(), size)));
+    }
+    Bytes longer = kSyn;
+    longer.push_back(0);
+    CPPUNIT_ASSERT_EQUAL(std::string("packet.len"),
+                         DecodePacket(longer).error().path);
+    Bytes too_long(kPacketHeadBytes + 1201);
+    too_long[12] = 1201 >> 8;
+    too_long[13] = 1201 & 0xff;
+    CPPUNIT_ASSERT(!DecodePacket(too_long));
+    // A target's answer is not an opening packet of a caller.
+    Bytes answer = kSyn;
+    answer[14] = 64 | 4;
+    CPPUNIT_ASSERT(!DecodePacket(answer)->opens);
+  }
+
+  void WritesTargetAndCookieOnly() {
+    const TargetHead head = EncodeTargetHead(kSyn, 0x7f3a91c2, 0xdeadbeef);
+    const Bytes prefix(head.begin(), head.begin() + 8);
+    CPPUNIT_ASSERT(prefix == Bytes({0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2}));
+    Bytes expected = kSyn;
+    expected[16] = 0xde;
+    expected[17] = 0xad;
+    expected[18] = 0xbe;
+    expected[19] = 0xef;
+    CPPUNIT_ASSERT(Bytes(head.begin() + 8, head.end()) == expected);
+  }
+
+  void WritesResets() {
+    FlowKey flow;
+    flow.caller = *Endpoint::Parse("100.64.0.7:40001");
+    flow.service = *Endpoint::Parse("198.18.0.1:443");
+    const ResetPacket reset = EncodeReset(flow, 0);
+    const Bytes expected = {0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+                            0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x01, 0x00,
+                            0x00, 0x00, 0x00, 0x00, 0x01, 0xbb, 0xc6, 0x12,
+                            0x00, 0x01, 0x9c, 0x41, 0x64, 0x40, 0x00, 0x07};
+    CPPUNIT_ASSERT(Bytes(reset.begin(), reset.end()) == expected);
+  }
+
+  static Result<TargetNews> Heartbeat(const std::string& body) {
+    return DecodeHeartbeat("i-7f3a91c2", body);
+  }
+
+  void ReadsHeartbeats() {
+    const auto news = Heartbeat(MakeHeartbeat().dump());
+    CPPUNIT_ASSERT(news.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0x7f3a91c2}, news->number);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1'790'000'000'123}, news->started_ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, news->sequence);
+    CPPUNIT_ASSERT(news->warm_up_left == std::chrono::milliseconds(1500));
+    CPPUNIT_ASSERT(news->state == AnnouncedState::kReady);
+    json draining = MakeHeartbeat();
+    draining["state"] = "draining";
+    CPPUNIT_ASSERT(Heartbeat(draining.dump())->state ==
+                   AnnouncedState::kDraining);
+  }
+
+  void HeartbeatErrorsNameTheKey() {
+    for (const char* key : {"service", "address", "zone", "slots", "state",
+                            "warmupLeftMs", "sequence", "born"}) {
+      json missing = MakeHeartbeat();
+      missing.erase(key);
+      AssertRefused(missing, key, Heartbeat);
+      json mistyped = MakeHeartbeat();
+      mistyped[key] = json::array();
+      AssertRefused(mistyped, key, Heartbeat);
+    }
+    json state = MakeHeartbeat();
+    state["state"] = "asleep";
+    AssertRefused(state, "state", Heartbeat);
+    json slots = MakeHeartbeat();
+    slots["slots"] = 0;
+    AssertRefused(slots, "slots", Heartbeat);
+    json born = MakeHeartbeat();
+    born["born"] = 1.5;
+    AssertRefused(born, "born", Heartbeat);
+  }
+
+  void ReadsTargetIds() {
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0x144eba1e34},
+                         *DecodeTargetId("i-144eba1e34"));
+    CPPUNIT_ASSERT_EQUAL(std::string("id"), DecodeTargetId("zzz").error().path);
+    CPPUNIT_ASSERT(!DecodeTargetId("i-0123456789abcdef0"));
+  }
+
+  void ReadsDepartures() {
+    CPPUNIT_ASSERT(!DecodeDeparture("i-1", "")->started_ms.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5},
+                         *DecodeDeparture("i-1", R"({"born":5})")->started_ms);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("born"),
+        DecodeDeparture("i-1", R"({"born":"x"})").error().path);
+    CPPUNIT_ASSERT(!DecodeDeparture("i-1", "{"));
+  }
+
+  void ReadsConfigurations() {
+    const auto table = DecodeConfig(MakeConfig().dump());
+    CPPUNIT_ASSERT(table.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, table->version.value);
+    const Route* notes = table->Find(*Endpoint::Parse("198.18.0.1:8080"));
+    CPPUNIT_ASSERT(notes != nullptr);
+    CPPUNIT_ASSERT(notes->kind == RequestKind::kNonIdempotent);
+    CPPUNIT_ASSERT_EQUAL(std::string("huvo11a"), notes->pools[0].pool);
+    const Route* watch = table->Find(*Endpoint::Parse("198.18.0.1:8443"));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{10}, watch->pools[1].weight);
+    CPPUNIT_ASSERT(table->idle_timeout == std::chrono::seconds(12));
+  }
+
+  void ConfigurationErrorsNameTheKey() {
+    json unknown = MakeConfig();
+    unknown["routes"][0]["service"] = "nowhere";
+    AssertRefused(unknown, "routes[0].pools", DecodeConfig);
+    json twice = MakeConfig();
+    twice["routes"][1]["pathPrefix"] = "/8080/";
+    AssertRefused(twice, "routes[1].address", DecodeConfig);
+    json timeout = MakeConfig();
+    timeout["routes"][1]["timeoutMs"] = 0;
+    AssertRefused(timeout, "routes[1].timeout", DecodeConfig);
+    json weight = MakeConfig();
+    weight["routes"][1]["targets"][0].erase("weight");
+    AssertRefused(weight, "routes[1].targets[0].weight", DecodeConfig);
+    for (const char* key : {"hostname", "pathPrefix", "type", "timeoutMs"}) {
+      json missing = MakeConfig();
+      missing["routes"][0].erase(key);
+      AssertRefused(missing, std::string("routes[0].") + key, DecodeConfig);
+    }
+    for (const char* prefix : {"/", "//", "/0/", "/70000/", "8080", "/80a/"}) {
+      json port = MakeConfig();
+      port["routes"][0]["pathPrefix"] = prefix;
+      AssertRefused(port, "routes[0].pathPrefix", DecodeConfig);
+    }
+    for (const char* key : {"version", "routes", "services"}) {
+      json missing = MakeConfig();
+      missing.erase(key);
+      AssertRefused(missing, key, DecodeConfig);
+    }
+  }
+
+  void CutTextIsRefused() {
+    const std::string config = MakeConfig().dump();
+    for (std::size_t size = 0; size < config.size(); ++size) {
+      CPPUNIT_ASSERT(!DecodeConfig(config.substr(0, size)));
+    }
+    const std::string beat = MakeHeartbeat().dump();
+    for (std::size_t size = 0; size < beat.size(); ++size) {
+      CPPUNIT_ASSERT(!Heartbeat(beat.substr(0, size)));
+    }
+    CPPUNIT_ASSERT(!Heartbeat("\xff\xfe\x00 not text"));
+    CPPUNIT_ASSERT(!Heartbeat("[1]"));
+  }
+
+  void DocumentsKeepTheOperatorsText() {
+    const std::string text = MakeConfig().dump(2) + "\n";
+    const Document document = ToDocument(ConfigVersion{7}, text);
+    CPPUNIT_ASSERT_EQUAL(text, *TextOf(document));
+    Document damaged = document;
+    damaged.content = std::make_shared<const Bytes>(Bytes{1, 2, 3, 4, 5});
+    CPPUNIT_ASSERT(!TextOf(damaged));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformCodecTest);
+
+}  // namespace
+}  // namespace sardinelead
