Control VMs invite the balancers that they served before a restart

Change: subscribers are kept beside the targets on disk, and a control VM that starts reports to them.

--- a/include/sardinelead/target_feed.h
+++ b/include/sardinelead/target_feed.h
@@ -75,6 +75,11 @@
   // 50 ms.
   Outbox OnTick(TimePoint now);
 
+  // Reports to a node that followed an earlier start of this process, so that
+  // it learns of this one without having its address.
+  void Invite(NodeId node, TimePoint now);
+  std::vector<NodeId> Subscribers() const;
+
   std::size_t subscriber_count() const {
     return m_subscribers.size();
   }  // NOLINT
--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -48,19 +48,26 @@
 // What this VM knew before it went down, so that balancers that start with it
 // need not wait for the targets' next words.
 void ControlPlane::LoadTargets(TimePoint now) {
-  const auto targets = ReadTargets(m_hooks.open_files());
-  if (!targets) return m_hooks.on_error(targets.error());
-  for (const TargetNews& news : *targets) m_directory.Take(news, now);
+  const auto stored = ReadTargets(m_hooks.open_files());
+  if (!stored) return m_hooks.on_error(stored.error());
+  for (const TargetNews& news : stored->targets) m_directory.Take(news, now);
+  for (const NodeId node : stored->subscribers) m_publisher.Invite(node, now);
+  m_kept_subscribers = stored->subscribers;
   m_kept_revision = m_directory.revision();
 }
 
 void ControlPlane::KeepTargets(TimePoint now) {
-  if (m_kept_revision == m_directory.revision()) return;
+  const std::vector<NodeId> subscribers = m_publisher.Subscribers();
+  const bool is_kept = m_kept_revision == m_directory.revision() &&
+                       m_kept_subscribers == subscribers;
+  if (is_kept) return;
   if (!m_keep_at) m_keep_at = now + m_settings.keep_delay;
   if (now < *m_keep_at) return;
   m_keep_at = now + m_settings.keep_interval;
   m_kept_revision = m_directory.revision();
-  const auto kept = WriteTargets(m_hooks.open_files(), m_directory);
+  m_kept_subscribers = subscribers;
+  const auto kept =
+      WriteTargets(m_hooks.open_files(), m_directory, subscribers);
   if (!kept) m_hooks.on_error(kept.error());
 }
 
--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -97,6 +97,7 @@
   FeedPublisher m_publisher;
   FeedFollower m_follower;
   std::uint64_t m_kept_revision = 0;
+  std::vector<NodeId> m_kept_subscribers;
   std::optional<TimePoint> m_keep_at;
   std::unordered_map<std::uint64_t, OnOutcome> m_pending;
   std::uint64_t m_last_request = 0;
--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -48,6 +48,16 @@
   return out;
 }
 
+void FeedPublisher::Invite(NodeId node, TimePoint now) {
+  m_subscribers[node].polled_at = now;
+}
+
+std::vector<NodeId> FeedPublisher::Subscribers() const {
+  std::vector<NodeId> nodes;
+  for (const auto& [id, subscriber] : m_subscribers) nodes.push_back(id);
+  return nodes;
+}
+
 bool FeedPublisher::IsDue(const Subscriber& subscriber, ConfigVersion version,
                           TimePoint now) const {
   const std::uint64_t revision = m_directory->revision();
--- a/src/target_store.cc
+++ b/src/target_store.cc
@@ -20,13 +20,13 @@
 
 }  // namespace
 
-Result<std::vector<TargetNews>> ReadTargets(const FileHooks& files) {
-  std::vector<TargetNews> targets;
+Result<StoredTargets> ReadTargets(const FileHooks& files) {
+  StoredTargets stored;
   const auto names = files.list();
   if (!names) return tl::unexpected<Error>(names.error());
   const bool exists =
       std::find(names->begin(), names->end(), kName) != names->end();
-  if (!exists) return targets;
+  if (!exists) return stored;
   const auto file = files.read(kName);
   if (!file) return tl::unexpected<Error>(file.error());
   const Error corrupt{ErrorCode::kCorrupt, "the file fails its checksum",
@@ -42,13 +42,16 @@
   const auto* report = std::get_if<FeedReport>(&*message);
   if (report == nullptr) return tl::unexpected<Error>(corrupt);
   for (const ReportedTarget& target : report->changed) {
-    targets.push_back(target.news);
+    stored.targets.push_back(target.news);
   }
-  return targets;
+  stored.subscribers = report->members;
+  return stored;
 }
 
-Done WriteTargets(const FileHooks& files, const TargetDirectory& directory) {
+Done WriteTargets(const FileHooks& files, const TargetDirectory& directory,
+                  const std::vector<NodeId>& subscribers) {
   FeedReport report;
+  report.members = subscribers;
   for (const auto& [number, entry] : directory.entries()) {
     if (entry.news.state == AnnouncedState::kEnded) continue;
     report.changed.push_back({entry.news, Duration{0}});
--- a/src/target_store.h
+++ b/src/target_store.h
@@ -1,8 +1,8 @@
 #ifndef SARDINELEAD_SRC_TARGET_STORE_H_
 #define SARDINELEAD_SRC_TARGET_STORE_H_
 
-// A control VM's targets on its disk: a hint for its next start. It may be lost
-// or old; what targets say goes before it.
+// A control VM's targets and subscribers on its disk: a hint for its next
+// start. It may be lost or old; what targets say goes before it.
 
 #include <vector>
 
@@ -12,10 +12,15 @@
 
 namespace sardinelead {
 
-// Targets that had not ended; none where there is no file.
-// Errors: kIo, kCorrupt.
-Result<std::vector<TargetNews>> ReadTargets(const FileHooks& files);
-Done WriteTargets(const FileHooks& files, const TargetDirectory& directory);
+struct StoredTargets {
+  std::vector<TargetNews> targets;  // That had not ended.
+  std::vector<NodeId> subscribers;  // Of the feed.
+};
+
+// Nothing where there is no file. Errors: kIo, kCorrupt.
+Result<StoredTargets> ReadTargets(const FileHooks& files);
+Done WriteTargets(const FileHooks& files, const TargetDirectory& directory,
+                  const std::vector<NodeId>& subscribers);
 
 }  // namespace sardinelead
 
