A fault soak of the real programs; two faults that it found

Change: sardinelead_soak runs control processes and balancers on loopback with targets, callers, routers and operators around them, relays that cut, lose, delay, silence and reset, and signals; a ledger checks the promises. Reports of living targets keep an interval of their own; targets without a lease are used where a pool has no others. Tests that failed first: TargetFeedTest.AStormOfVersionsDoesNotHideLivingTargets, CookieBalancerTest.SilentTargetsAreUsedWhereThereAreNoOthers.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -26,6 +26,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -85,6 +86,25 @@
   Bytes held;  // From OnTick(): the opening packet to send.
 };
 
+// What the balancer came to believe of a target, for logs.
+enum class TargetBelief : std::uint8_t {
+  kLost,     // Its callers repeat requests and it answers nothing.
+  kAnswers,  // It was lost and answers again.
+  kSilent,   // Its lease ended: it told no control VM that it lives.
+  kHeard,    // It was silent and says again that it lives.
+};
+const char* Name(TargetBelief belief);
+
+struct TargetJudgement {
+  TargetBelief belief = TargetBelief::kLost;
+  std::uint64_t target = 0;
+  Endpoint address;
+  std::string pool;
+  Duration unheard{0};     // Since its newest word, in covered time.
+  Duration unanswered{0};  // Since it last answered a flow of this balancer.
+  std::uint32_t repeats = 0;
+};
+
 struct CookieBalancerSettings {
   std::string data_centre;
   PlacementSettings placement;
@@ -107,6 +127,7 @@
     std::function<std::size_t()> balancers;  // That share the data centre.
     // Whether not all control VMs were heard yet since the start.
     std::function<bool()> is_gathering;
+    std::function<void(const TargetJudgement& judgement)> on_judgement;
   };
 
   // Keeps `directory`.
@@ -165,11 +186,15 @@
   Forwarding MakeReset(const FlowPacket& packet, ForwardReason reason) const;
   const std::vector<PlacementTarget>& TargetsOf(const std::string& pool,
                                                 TimePoint now);
-  bool MayTakeFlows(const TargetDirectory::Entry& entry) const;
+  bool HasLease(const TargetDirectory::Entry& entry) const;
+  void ListTargets();
   void Track(const FlowPacket& packet, std::uint64_t target, TimePoint now);
   void TrackData(const FlowPacket& packet, Flow* flow, TimePoint now);
   void TrackRepeat(Flow* flow, TimePoint now);
   void ResetFlowsOf(std::uint64_t target);
+  void JudgeTargets(TimePoint now);
+  void Tell(TargetBelief belief, const TargetDirectory::Entry& entry,
+            TimePoint now) const;
   void Forget(const FlowKey& key);
 
   CookieBalancerSettings m_settings;
@@ -182,6 +207,9 @@
   std::unordered_map<FlowKey, Flow, HashFlowKey> m_flows;
   std::vector<Retry> m_retries;  // In order of time.
   std::vector<Forwarding> m_resets;
+  std::set<std::uint64_t> m_lost;    // Targets, as last told.
+  std::set<std::uint64_t> m_silent;  // Targets, as last told.
+  TimePoint m_judged_at;
   TimePoint m_pulse_at;
   TimePoint m_trusted_since;  // No pulse was late since.
   // Targets that may take flows, by pool, made anew after a while.
--- a/include/sardinelead/target_feed.h
+++ b/include/sardinelead/target_feed.h
@@ -91,6 +91,7 @@
     ConfigVersion version;           // Of the routes that it has.
     TimePoint polled_at;
     TimePoint reported_at;
+    TimePoint living_at;  // When it was last told which targets live.
     std::uint64_t sent_revision = 0;
     ConfigVersion sent_version;
   };
--- /dev/null
+++ b/soak/actors.h
@@ -0,0 +1,112 @@
+#ifndef SARDINELEAD_SOAK_ACTORS_H_
+#define SARDINELEAD_SOAK_ACTORS_H_
+
+// The platform around the system, each actor on threads of its own: targets
+// that announce themselves, callers with long flows, routers that probe
+// readiness, and operators.
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "ledger.h"
+#include "sardinelead/types.h"
+
+namespace sardinelead::soak {
+
+constexpr std::uint16_t kPacketPort = 8172;
+constexpr std::uint16_t kReadinessPort = 8167;
+constexpr std::uint16_t kControlPort = 8166;
+constexpr std::uint16_t kCallRelayPort = 9166;
+constexpr Duration kHeartbeat = std::chrono::milliseconds(400);
+
+// What all actors share.
+struct World {
+  Ledger ledger;
+  std::vector<std::uint32_t> controls;
+  std::vector<std::uint32_t> edges;
+  std::atomic<bool> is_over{false};
+
+  // Edges that routers send to.
+  std::vector<std::uint32_t> InRotation() const;
+  void SetInRotation(std::vector<std::uint32_t> edges);
+  // The target that came last to an address.
+  std::uint64_t TargetAt(const Endpoint& address) const;
+  void SetTargetAt(const Endpoint& address, std::uint64_t number);
+  std::uint64_t NextRequest() { return ++m_last_request; }
+
+ private:
+  mutable std::mutex m_mutex;
+  std::vector<std::uint32_t> m_in_rotation;
+  std::map<Endpoint, std::uint64_t> m_targets;
+  std::atomic<std::uint64_t> m_last_request{0};
+};
+
+bool MayRepeat(const Endpoint& service);
+
+class TargetActor {
+ public:
+  TargetActor(World* world, std::uint64_t number, std::string pool,
+              const Endpoint& address, std::string data_centre,
+              std::uint64_t seed);
+  ~TargetActor();
+
+  void Crash();  // Without a word.
+  void Leave();  // Drains, then says goodbye.
+  bool HasEnded() const { return m_has_ended; }
+  const Endpoint& address() const { return m_address; }  // NOLINT
+  std::uint64_t number() const { return m_number; }      // NOLINT
+
+ private:
+  struct Flow {
+    std::uint32_t next = 0;      // Sequence number expected of the caller.
+    std::uint32_t sequence = 0;  // Own, after what was sent.
+    Bytes answer;                // The last one, to repeat.
+    bool is_open = false;
+  };
+
+  void Serve();
+  void OnPacket(const struct Packet& packet, std::uint32_t edge,
+                const class UdpSocket& socket);
+  void Announce();
+  bool Say(const char* call, const char* state);
+
+  World* m_world;
+  const std::uint64_t m_number;
+  const std::string m_pool;
+  const Endpoint m_address;
+  const std::string m_data_centre;
+  std::mt19937_64 m_random;
+  const std::uint64_t m_started_ms;
+  std::uint64_t m_sequence = 0;
+  std::size_t m_control = 0;
+  std::atomic<bool> m_is_down{false};
+  std::atomic<bool> m_is_leaving{false};
+  std::atomic<bool> m_has_ended{false};
+  std::map<std::pair<Endpoint, Endpoint>, Flow> m_flows;
+  std::thread m_server;
+  std::thread m_announcer;
+};
+
+// Runs flows of several requests one after the other until the world is over.
+void RunCaller(World* world, std::uint32_t address, std::uint64_t seed);
+void RunRouters(World* world);
+// Changes the configuration at random intervals, now and then twice at once.
+void RunOperator(World* world, std::uint64_t seed);
+void RunReader(World* world, std::uint64_t seed);
+// Sends one configuration until it is accepted or `limit` is over.
+bool SendConfig(World* world, std::uint64_t version, Duration limit,
+                std::mt19937_64* random);
+// Reads from any control process; the version, or 0 where none answered.
+std::uint64_t ReadConfig(World* world, std::uint32_t control);
+
+}  // namespace sardinelead::soak
+
+#endif  // SARDINELEAD_SOAK_ACTORS_H_
--- /dev/null
+++ b/soak/ledger.cc
@@ -0,0 +1,238 @@
+#include "ledger.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace sardinelead::soak {
+namespace {
+
+constexpr std::size_t kMaxBroken = 50;
+
+}  // namespace
+
+TimePoint Now() {
+  return TimePoint(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+void Ledger::Disturb(std::uint32_t node, bool is_control,
+                     const std::string& how) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  std::printf("fault %s at %s\n", how.c_str(),
+              IpAddress::FromV4(node).ToString().c_str());
+  m_disturbed_at[node] = Now();
+  if (is_control) m_core_disturbed_at = Now();
+}
+
+void Ledger::Stop(std::uint32_t node, bool is_control) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_stopped_at[node] = Now();
+  if (is_control) m_core_disturbed_at = Now();
+}
+
+void Ledger::BeginDisturbance(std::uint32_t node, bool is_control,
+                              const std::string& how) {
+  Disturb(node, is_control, how);
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_disturbed_now.insert(node);
+}
+
+void Ledger::EndDisturbance(std::uint32_t node, bool is_control) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_disturbed_now.erase(node);
+  m_disturbed_at[node] = Now();
+  if (is_control) m_core_disturbed_at = Now();
+}
+
+bool Ledger::IsInTouch(std::uint32_t node, TimePoint since) const {
+  const TimePoint begin = since - kContact;
+  if (m_disturbed_now.count(node) != 0) return false;
+  if (m_core_disturbed_at >= begin) return false;
+  for (const std::uint32_t other : m_disturbed_now) {
+    const auto found = m_disturbed_at.find(other);
+    if (found != m_disturbed_at.end() && found->second >= begin) return false;
+  }
+  const auto is_recent = [&](const std::map<std::uint32_t, TimePoint>& times) {
+    const auto found = times.find(node);
+    return found != times.end() && found->second >= begin;
+  };
+  return !is_recent(m_disturbed_at) && !is_recent(m_stopped_at);
+}
+
+void Ledger::OnSent(std::uint64_t version, const std::string& text,
+                    const std::map<Endpoint, std::string>& routes) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  Config& config = m_configs[version];
+  if (!config.text.empty()) return;
+  config = {text, routes, Now(), {}};
+}
+
+void Ledger::OnAccepted(std::uint64_t version) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  Config& config = m_configs[version];
+  if (config.accepted_at == TimePoint{}) config.accepted_at = Now();
+  m_newest_accepted = std::max(m_newest_accepted, version);
+}
+
+std::uint64_t Ledger::NewestAccepted() const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_newest_accepted;
+}
+
+void Ledger::OnRead(TimePoint, std::uint64_t newest_at_send,
+                    std::uint64_t version, const std::string& text) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_reads;
+  if (version < newest_at_send) {
+    BreakLocked("read gave version " + std::to_string(version) + " after " +
+                std::to_string(newest_at_send) + " was acknowledged");
+  }
+  const auto found = m_configs.find(version);
+  const bool is_sent = found != m_configs.end() && found->second.text == text;
+  if (!is_sent) {
+    BreakLocked("read gave a version " + std::to_string(version) +
+                " that was not sent so");
+  }
+}
+
+void Ledger::OnDrainAcknowledged(std::uint64_t target, std::uint32_t control) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  if (IsInTouch(control, Now()))
+    m_drains.try_emplace(target, Drain{Now(), control});
+}
+
+void Ledger::OnTargetDown(std::uint64_t target) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_down_targets.insert(target);
+}
+
+bool Ledger::IsForbidden(const Endpoint& service, const std::string& pool,
+                         TimePoint at) const {
+  // The newest version that must be in force, and all sent since, may hold.
+  std::uint64_t floor = 0;
+  for (const auto& [version, config] : m_configs) {
+    const bool must_hold = config.accepted_at != TimePoint{} &&
+                           config.accepted_at + kConfigApply < at;
+    if (must_hold) floor = std::max(floor, version);
+  }
+  for (const auto& [version, config] : m_configs) {
+    if (version < floor) continue;
+    const auto found = config.routes.find(service);
+    if (found != config.routes.end() && found->second == pool) return false;
+  }
+  return true;
+}
+
+void Ledger::OnOpened(std::uint64_t target, const std::string& pool,
+                      const Endpoint& service, std::uint32_t edge,
+                      TimePoint sent_at) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_opened;
+  bool was_ever_allowed = false;
+  for (const auto& [version, config] : m_configs) {
+    const auto found = config.routes.find(service);
+    was_ever_allowed |= found != config.routes.end() && found->second == pool;
+  }
+  if (!was_ever_allowed) {
+    BreakLocked("a flow to " + service.ToString() + " opened at pool " + pool);
+  }
+  if (IsForbidden(service, pool, sent_at) && IsInTouch(edge, sent_at)) {
+    BreakLocked("a flow to " + service.ToString() +
+                " opened under an outdated configuration");
+  }
+  const auto drain = m_drains.find(target);
+  const bool is_late =
+      drain != m_drains.end() && Now() - drain->second.acknowledged_at > kDrain;
+  if (is_late && IsInTouch(edge, drain->second.acknowledged_at)) {
+    BreakLocked("a draining target got a new flow through " +
+                IpAddress::FromV4(edge).ToString());
+  }
+}
+
+void Ledger::OnRun(std::uint64_t request, std::uint64_t target,
+                   bool may_repeat) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const auto [found, is_new] = m_runs.try_emplace(request, target);
+  if (is_new || may_repeat) return;
+  BreakLocked("request " + std::to_string(request) + " ran twice");
+}
+
+void Ledger::OnAnswer(std::uint64_t request, std::uint64_t answered_request,
+                      bool is_whole, bool was_late) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_served;
+  m_late += was_late ? 1 : 0;
+  if (request != answered_request || !is_whole) {
+    BreakLocked("request " + std::to_string(request) + " got the answer of " +
+                std::to_string(answered_request));
+  }
+}
+
+void Ledger::OnFailed(std::uint64_t) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_failed;
+}
+
+void Ledger::OnReset(std::uint64_t target, bool is_open, std::uint32_t edge,
+                     const Endpoint& service, const std::string& what) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_resets;
+  const TimePoint now = Now();
+  bool has_route = true;
+  std::uint64_t floor = 0;
+  for (const auto& [version, config] : m_configs) {
+    const bool must_hold = config.accepted_at != TimePoint{} &&
+                           config.accepted_at + kConfigApply < now;
+    if (must_hold) floor = version;
+  }
+  for (const auto& [version, config] : m_configs) {
+    if (version < floor) continue;
+    has_route = has_route && config.routes.count(service) != 0;
+  }
+  if (!has_route || floor == 0) return;
+  if (is_open && m_down_targets.count(target) == 0 && IsInTouch(edge, now)) {
+    BreakLocked("an open flow was reset by " +
+                IpAddress::FromV4(edge).ToString() + ": " + what);
+  }
+}
+
+void Ledger::OnProcessEnded(const std::string& name, int status) {
+  Break("process " + name + " ended by itself, status " +
+        std::to_string(status));
+}
+
+void Ledger::Break(const std::string& what) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  BreakLocked(what);
+}
+
+void Ledger::BreakLocked(const std::string& what) {
+  if (m_broken.size() >= kMaxBroken) return;
+  m_broken.push_back(what);
+  std::printf("BROKEN %s\n", what.c_str());
+}
+
+std::vector<std::string> Ledger::broken() const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_broken;
+}
+
+std::string Ledger::Summary() const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return std::to_string(m_served) + " served (" + std::to_string(m_late) +
+         " late), " + std::to_string(m_failed) + " failed, " +
+         std::to_string(m_opened) + " flows opened, " +
+         std::to_string(m_resets) + " resets, " +
+         std::to_string(m_configs.size()) + " configurations, " +
+         std::to_string(m_reads) + " reads";
+}
+
+std::pair<std::uint64_t, std::uint64_t> Ledger::TakeCounts() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const std::pair<std::uint64_t, std::uint64_t> counts = {
+      m_served - m_taken_served, m_failed - m_taken_failed};
+  m_taken_served = m_served;
+  m_taken_failed = m_failed;
+  return counts;
+}
+
+}  // namespace sardinelead::soak
--- /dev/null
+++ b/soak/plan.cc
@@ -0,0 +1,439 @@
+#include "plan.h"
+
+#include <algorithm>
+#include <asio/executor_work_guard.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace sardinelead::soak {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::uint16_t kInternalPort = 7720;
+constexpr std::uint16_t kMetricsPort = 7735;
+constexpr int kDataCentres = 3;
+
+std::string Text(std::uint32_t node) {
+  return IpAddress::FromV4(node).ToString();
+}
+
+std::string At(std::uint32_t node, std::uint16_t port) {
+  return Text(node) + ":" + std::to_string(port);
+}
+
+}  // namespace
+
+System::System(const SoakSettings& settings, World* world)
+    : m_settings(settings),
+      m_world(world),
+      m_random(settings.seed),
+      m_relay(&m_context, kInternalPort, settings.seed) {
+  const auto base = static_cast<std::uint32_t>(127U << 24) |
+                    static_cast<std::uint32_t>(settings.network) << 16;
+  for (int i = 0; i < settings.controls; ++i) {
+    m_world->controls.push_back(base + 0x100 + static_cast<std::uint32_t>(i) +
+                                1);
+  }
+  for (int i = 0; i < settings.edges; ++i) {
+    m_world->edges.push_back(base + 0x200 + static_cast<std::uint32_t>(i) + 1);
+  }
+}
+
+System::~System() {
+  m_world->is_over = true;
+  m_targets.clear();
+  m_old_targets.clear();
+  for (const auto& process : m_processes) process->child->Signal(SIGCONT);
+  m_processes.clear();
+  m_context.stop();
+  if (m_relay_thread.joinable()) m_relay_thread.join();
+}
+
+void System::Start() {
+  for (const std::uint32_t node : m_world->controls) {
+    m_relay.Add(node);
+    m_call_relays[node] = std::make_unique<CallRelay>(
+        &m_context, Endpoint{IpAddress::FromV4(node), kCallRelayPort},
+        Endpoint{IpAddress::FromV4(node), kControlPort});
+    AddProcess(node, true);
+  }
+  for (const std::uint32_t node : m_world->edges) {
+    m_relay.Add(node);
+    AddProcess(node, false);
+  }
+  m_relay_thread = std::thread([this] {
+    const auto work = asio::make_work_guard(m_context);
+    m_context.run();
+  });
+  for (int i = 0; i < m_settings.targets; ++i) {
+    m_targets.emplace_back();
+    AddTarget(static_cast<std::size_t>(i));
+  }
+}
+
+void System::AddProcess(std::uint32_t node, bool is_control) {
+  auto process = std::make_unique<Process>();
+  process->node = node;
+  process->is_control = is_control;
+  const std::string name = (is_control ? "control-" : "edge-") + Text(node);
+  const std::string folder = m_settings.folder + "/" + name;
+  std::filesystem::create_directories(folder + "/data");
+  process->child = std::make_unique<Child>(name, folder + "/log");
+  WriteSettings(*process, true);
+  Launch(process.get());
+  m_processes.push_back(std::move(process));
+}
+
+void System::WriteSettings(const Process& process, bool is_first) {
+  json seeds = json::array();
+  for (std::size_t i = 0;
+       i < std::min<std::size_t>(m_world->controls.size(), 3); ++i) {
+    seeds.push_back(At(m_world->controls[i], kControlPort));
+  }
+  json listen;
+  const std::uint32_t node = process.node;
+  if (process.is_control) {
+    listen["control"] = At(node, kControlPort);
+  } else {
+    listen["datagramAddr"] = At(node, kPacketPort);
+    listen["ready"] = At(node, kReadinessPort);
+  }
+  const std::string folder = m_settings.folder + "/" + process.child->name();
+  const json boot = {
+      {"nodeName", process.child->name()},
+      {"ip", Text(node)},
+      {"zone", "dc-" + std::to_string(node % kDataCentres)},
+      {"listen", listen},
+      {"internalPorts", {kInternalPort, kMetricsPort}},
+      {"seeds", seeds},
+      {"bootstrap", is_first},
+      {"dataDir", process.is_control ? json(folder + "/data") : json()},
+      {"heartbeatMs",
+       std::chrono::duration_cast<milliseconds>(kHeartbeat).count()},
+      {"tolerate", {{"machines", 1}}},
+      {"bounds", {{"graceS", 6}}}};
+  std::ofstream(folder + "/boot.json") << boot.dump();
+}
+
+void System::Launch(Process* process) {
+  const std::string folder = m_settings.folder + "/" + process->child->name();
+  if (process->starts++ > 0) WriteSettings(*process, false);
+  std::vector<std::string> arguments = {
+      m_settings.programs +
+          (process->is_control ? "/sardinelead-control" : "/sardinelead-edge"),
+      "--listen_internal_port=" + std::to_string(kInternalPort + 1)};
+  // The clock goes back at some starts.
+  m_last_incarnation += 1000;
+  const std::uint64_t back = m_random() % 4 == 0 ? m_random() % 5000 : 0;
+  arguments.push_back("--incarnation=" +
+                      std::to_string(m_last_incarnation > back
+                                         ? m_last_incarnation - back + 1
+                                         : 1));
+  process->is_expected_to_end = false;
+  process->is_stopped = false;
+  process->start_at = TimePoint{};
+  process->child->Start(arguments, folder + "/boot.json");
+}
+
+void System::AddTarget(std::size_t place) {
+  const std::uint32_t node = (m_world->edges.front() & 0xffff0000) + 0x300 +
+                             static_cast<std::uint32_t>(place) + 1;
+  const std::uint64_t number = 0x100000 + ++m_last_target;
+  // A place goes to a target of another service now and then.
+  const std::string pool = m_random() % 4 == 0 ? "gallery" : "orders";
+  m_targets[place] = std::make_unique<TargetActor>(
+      m_world, number, place < 2 ? (place == 0 ? "gallery" : "orders") : pool,
+      Endpoint{IpAddress::FromV4(node), 8080},
+      "dc-" + std::to_string(place % kDataCentres), m_random());
+}
+
+System::Process* System::DrawProcess(bool is_control) {
+  std::vector<Process*> fit;
+  for (const auto& process : m_processes) {
+    const bool is_up = process->child->IsRunning() && !process->is_stopped;
+    if (process->is_control == is_control && is_up)
+      fit.push_back(process.get());
+  }
+  if (fit.empty()) return nullptr;
+  return fit[m_random() % fit.size()];
+}
+
+Duration System::DrawSpan(int from_ms, int to_ms) {
+  const auto span = static_cast<std::uint64_t>(to_ms - from_ms);
+  return milliseconds(from_ms + static_cast<int>(m_random() % span));
+}
+
+void System::In(Duration delay, std::function<void()> action) {
+  m_later.push_back({Now() + delay, std::move(action)});
+}
+
+// A disk may be lost only while all others have theirs and vote.
+bool System::MayLoseControl() const {
+  return std::all_of(m_processes.begin(), m_processes.end(), [](const auto& p) {
+    const bool is_well = p->child->IsRunning() && !p->is_stopped && !p->is_full;
+    return !p->is_control || is_well;
+  });
+}
+
+void System::Kill(Process* process, bool wipe) {
+  m_world->ledger.Disturb(process->node, process->is_control,
+                          wipe ? "kill and wipe" : "kill");
+  process->is_expected_to_end = true;
+  process->child->Signal(SIGKILL);
+  process->start_at = Now() + DrawSpan(100, 2000);
+  if (!wipe) return;
+  const std::string data =
+      m_settings.folder + "/" + process->child->name() + "/data";
+  In(milliseconds(50), [data] {
+    for (const auto& entry : std::filesystem::directory_iterator(data)) {
+      std::filesystem::remove(entry.path());
+    }
+  });
+}
+
+void System::Terminate(Process* process) {
+  m_world->ledger.Stop(process->node, process->is_control);
+  process->is_expected_to_end = true;
+  process->child->Signal(SIGTERM);
+  process->start_at = Now() + std::chrono::seconds(7);
+}
+
+void System::Freeze(Process* process) {
+  m_world->ledger.BeginDisturbance(process->node, process->is_control,
+                                   "freeze");
+  process->is_stopped = true;
+  process->child->Signal(SIGSTOP);
+  In(DrawSpan(200, 4000), [this, process] {
+    process->child->Signal(SIGCONT);
+    process->is_stopped = false;
+    m_world->ledger.EndDisturbance(process->node, process->is_control);
+  });
+}
+
+void System::CutNode(Process* process, bool one_way) {
+  m_world->ledger.BeginDisturbance(process->node, process->is_control,
+                                   one_way ? "one-way cut" : "cut");
+  const auto set = [this, process, one_way](bool is_cut) {
+    LinkFault fault;
+    fault.is_cut = is_cut;
+    for (const auto& other : m_processes) {
+      if (other.get() == process) continue;
+      m_relay.SetFault(other->node, process->node, fault);
+      if (!one_way) m_relay.SetFault(process->node, other->node, fault);
+    }
+  };
+  set(true);
+  In(DrawSpan(500, 5000), [this, process, set] {
+    set(false);
+    m_world->ledger.EndDisturbance(process->node, process->is_control);
+  });
+}
+
+// Half of the control nodes from the other half; all others reach both.
+void System::SplitCore() {
+  const auto& controls = m_world->controls;
+  const auto set = [this, &controls](bool is_cut) {
+    LinkFault fault;
+    fault.is_cut = is_cut;
+    for (std::size_t a = 0; a < controls.size(); ++a) {
+      for (std::size_t b = 0; b < controls.size(); ++b) {
+        if (a % 2 != b % 2) m_relay.SetFault(controls[a], controls[b], fault);
+      }
+    }
+  };
+  for (const std::uint32_t node : controls) {
+    m_world->ledger.BeginDisturbance(node, true, "split");
+  }
+  set(true);
+  In(DrawSpan(500, 4000), [this, set, &controls] {
+    set(false);
+    for (const std::uint32_t node : controls) {
+      m_world->ledger.EndDisturbance(node, true);
+    }
+  });
+}
+
+// Loss and reordering everywhere.
+void System::Disorder() {
+  LinkFault fault;
+  fault.loss = static_cast<double>(m_random() % 30) / 100;
+  fault.delay = DrawSpan(1, 80);
+  const auto set = [this](const LinkFault& now) {
+    for (const auto& a : m_processes) {
+      for (const auto& b : m_processes) {
+        m_relay.SetFault(a->node, b->node, now);
+      }
+    }
+  };
+  for (const auto& process : m_processes) {
+    m_world->ledger.BeginDisturbance(process->node, process->is_control,
+                                     "loss and delay");
+  }
+  set(fault);
+  In(DrawSpan(500, 4000), [this, set] {
+    set(LinkFault{});
+    for (const auto& process : m_processes) {
+      m_world->ledger.EndDisturbance(process->node, process->is_control);
+    }
+  });
+}
+
+void System::FillDisk(Process* process) {
+  m_world->ledger.BeginDisturbance(process->node, true, "full disk");
+  process->is_full = true;
+  process->child->LimitFiles(true);
+  In(DrawSpan(500, 4000), [this, process] {
+    process->child->LimitFiles(false);
+    process->is_full = false;
+    m_world->ledger.EndDisturbance(process->node, true);
+  });
+}
+
+// A byte of what is stored changes while the process is down.
+void System::DamageDisk(Process* process) {
+  Kill(process, false);
+  const std::string data =
+      m_settings.folder + "/" + process->child->name() + "/data";
+  const std::uint64_t draw = m_random();
+  In(milliseconds(50), [data, draw] {
+    for (const auto& entry : std::filesystem::directory_iterator(data)) {
+      const auto size = std::filesystem::file_size(entry.path());
+      if (size == 0) continue;
+      std::fstream file(entry.path(),
+                        std::ios::in | std::ios::out | std::ios::binary);
+      file.seekp(static_cast<std::streamoff>(draw % size));
+      file.put(static_cast<char>(draw >> 32));
+    }
+  });
+}
+
+void System::BreakCalls(Process* process) {
+  m_world->ledger.BeginDisturbance(process->node, true, "calls broken");
+  CallRelay* relay = m_call_relays.at(process->node).get();
+  constexpr CallFault kFaults[] = {CallFault::kSilence, CallFault::kOneWay,
+                                   CallFault::kRefuse};
+  const CallFault fault = kFaults[m_random() % 3];
+  if (m_random() % 4 == 0) relay->ResetAll();
+  relay->SetFault(fault);
+  In(DrawSpan(300, 3000), [this, relay, process] {
+    relay->SetFault(CallFault::kNone);
+    m_world->ledger.EndDisturbance(process->node, true);
+  });
+}
+
+void System::KillAllControls() {
+  for (const auto& process : m_processes) {
+    const bool is_up = process->child->IsRunning() && !process->is_stopped;
+    if (process->is_control && is_up) Kill(process.get(), false);
+  }
+}
+
+// One leaves, crashes, or is replaced by another at its address.
+void System::ChangeTarget() {
+  const std::size_t place = 2 + m_random() % (m_targets.size() - 2);
+  if (m_targets[place] == nullptr) return;
+  TargetActor* target = m_targets[place].get();
+  const bool is_crash = m_random() % 2 == 0;
+  if (is_crash) {
+    target->Crash();
+  } else {
+    target->Leave();
+  }
+  m_old_targets.push_back(std::move(m_targets[place]));
+  In(is_crash ? DrawSpan(2100, 4000) : DrawSpan(7000, 9000), [this, place] {
+    if (m_targets[place] == nullptr) AddTarget(place);
+  });
+}
+
+// Planned: one after the other.
+void System::RollEdges() {
+  Duration delay{0};
+  for (const auto& process : m_processes) {
+    if (process->is_control) continue;
+    In(delay, [this, raw = process.get()] {
+      if (raw->child->IsRunning() && !raw->is_stopped) Terminate(raw);
+    });
+    delay += DrawSpan(300, 2500);
+  }
+}
+
+void System::Disturb() {
+  const std::uint64_t draw = m_random() % 16;
+  Process* control = DrawProcess(true);
+  Process* edge = DrawProcess(false);
+  if (draw == 0 && edge != nullptr) return Kill(edge, false);
+  if (draw == 1 && control != nullptr) return Kill(control, false);
+  if (draw == 2 && control != nullptr && MayLoseControl()) {
+    return Kill(control, true);
+  }
+  if (draw == 3 && edge != nullptr) return Freeze(edge);
+  if (draw == 4 && control != nullptr) return Freeze(control);
+  if (draw == 5 && edge != nullptr) return CutNode(edge, m_random() % 2 == 0);
+  if (draw == 6 && control != nullptr) {
+    return CutNode(control, m_random() % 2 == 0);
+  }
+  if (draw == 7) return SplitCore();
+  if (draw == 8) return Disorder();
+  if (draw == 9 && control != nullptr) return FillDisk(control);
+  if (draw == 10 && control != nullptr && MayLoseControl()) {
+    return DamageDisk(control);
+  }
+  if (draw == 11 && control != nullptr) return BreakCalls(control);
+  if (draw == 12) return KillAllControls();
+  if (draw == 13 && control != nullptr) return Terminate(control);
+  if (draw == 14) return RollEdges();
+  ChangeTarget();
+}
+
+void System::Watch() {
+  const TimePoint now = Now();
+  std::vector<Later> due;
+  for (auto it = m_later.begin(); it != m_later.end();) {
+    if (it->at > now) {
+      ++it;
+      continue;
+    }
+    due.push_back(std::move(*it));
+    it = m_later.erase(it);
+  }
+  for (const Later& later : due) later.action();
+  for (const auto& process : m_processes) {
+    const int status = process->child->Reap();
+    if (status >= 0 && !process->is_expected_to_end) {
+      m_world->ledger.OnProcessEnded(process->child->name(), status);
+      process->start_at = now;
+    }
+    if (status >= 0 && process->is_expected_to_end) {
+      process->start_at = std::min(process->start_at, now + milliseconds(500));
+    }
+    const bool is_due =
+        process->start_at != TimePoint{} && now >= process->start_at;
+    if (!is_due) continue;
+    if (process->child->IsRunning()) {
+      m_world->ledger.Break(process->child->name() +
+                            " did not end within its grace");
+      process->child->Signal(SIGKILL);
+      process->start_at = now + milliseconds(100);
+      continue;
+    }
+    m_world->ledger.Stop(process->node, process->is_control);
+    Launch(process.get());
+  }
+}
+
+void System::Heal() {
+  for (Later& later : std::exchange(m_later, {})) {
+    later.action();
+  }
+  m_relay.Clear();
+  for (std::size_t place = 0; place < m_targets.size(); ++place) {
+    if (m_targets[place] == nullptr) AddTarget(place);
+  }
+}
+
+}  // namespace sardinelead::soak
--- /dev/null
+++ b/soak/plan.h
@@ -0,0 +1,104 @@
+#ifndef SARDINELEAD_SOAK_PLAN_H_
+#define SARDINELEAD_SOAK_PLAN_H_
+
+// The system under the soak: its processes, the relays between them, the
+// targets, and the faults that a seed draws.
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "actors.h"
+#include "child.h"
+#include "relay.h"
+
+namespace sardinelead::soak {
+
+struct SoakSettings {
+  std::uint64_t seed = 1;
+  std::string programs;  // Folder of the programs.
+  std::string folder;    // For data, settings and logs.
+  int controls = 4;
+  int edges = 5;
+  int targets = 10;
+  int network = 77;  // 127.NETWORK.x.x
+  // Faults are drawn this long; then all is healed and must serve.
+  Duration faults = std::chrono::seconds(20);
+  bool has_faults = true;
+};
+
+class System {
+ public:
+  System(const SoakSettings& settings, World* world);
+  ~System();
+
+  void Start();
+  // One fault, or planned work, of those that this seed draws. Some go on in
+  // the background and overlap with the next ones.
+  void Disturb();
+  // Ends all faults and starts what is down.
+  void Heal();
+  // Reaps processes; one that ended by itself breaks a promise.
+  void Watch();
+
+ private:
+  struct Process {
+    std::uint32_t node = 0;
+    bool is_control = false;
+    std::unique_ptr<Child> child;
+    bool is_expected_to_end = false;
+    bool is_stopped = false;  // By SIGSTOP.
+    bool is_full = false;
+    int starts = 0;
+    TimePoint start_at;  // When to start it again; zero for not at all.
+  };
+  struct Later {
+    TimePoint at;
+    std::function<void()> action;
+  };
+
+  void AddProcess(std::uint32_t node, bool is_control);
+  void Launch(Process* process);
+  void WriteSettings(const Process& process, bool is_first);
+  void AddTarget(std::size_t place);
+  Process* DrawProcess(bool is_control);
+  Duration DrawSpan(int from_ms, int to_ms);
+  void In(Duration delay, std::function<void()> action);
+  bool MayLoseControl() const;
+
+  void Kill(Process* process, bool wipe);
+  void Terminate(Process* process);
+  void Freeze(Process* process);
+  void CutNode(Process* process, bool one_way);
+  void SplitCore();
+  void Disorder();
+  void FillDisk(Process* process);
+  void DamageDisk(Process* process);
+  void BreakCalls(Process* process);
+  void KillAllControls();
+  void ChangeTarget();
+  void RollEdges();
+
+  SoakSettings m_settings;
+  World* m_world;
+  std::mt19937_64 m_random;
+  asio::io_context m_context;
+  PeerRelay m_relay;
+  std::map<std::uint32_t, std::unique_ptr<CallRelay>> m_call_relays;
+  std::vector<std::unique_ptr<Process>> m_processes;
+  std::vector<std::unique_ptr<TargetActor>> m_targets;
+  std::vector<std::unique_ptr<TargetActor>> m_old_targets;
+  std::vector<Later> m_later;
+  std::uint64_t m_last_target = 0;
+  std::uint64_t m_last_incarnation = 0;
+  std::thread m_relay_thread;
+};
+
+}  // namespace sardinelead::soak
+
+#endif  // SARDINELEAD_SOAK_PLAN_H_
--- /dev/null
+++ b/soak/soak_main.cc
@@ -0,0 +1,160 @@
+// sardinelead_soak: the real programs under random faults.
+//
+//   sardinelead_soak --programs=build --seed=7 --seconds=20
+//   sardinelead_soak --programs=build --seeds=1,2,3 --faults=false
+//
+// Starts control processes and balancers on loopback addresses of their own,
+// with targets, callers, routers and operators around them, injects faults from
+// outside, and checks the promises from what callers, targets and operators
+// see. A seed draws the faults; their effect also depends on scheduling. Ends
+// with "N passed, N failed" over the seeds; a failed seed's logs stay.
+
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "plan.h"
+#include "sardinelead/http_client.h"
+
+DEFINE_string(programs, "build", "folder of the programs");
+DEFINE_string(folder, "/tmp/sardinelead-soak", "for data, settings and logs");
+DEFINE_string(seeds, "1", "seeds to run, one after the other");
+DEFINE_int32(seconds, 20, "how long faults are drawn");
+DEFINE_int32(controls, 4, "control processes");
+DEFINE_int32(edges, 5, "balancers");
+DEFINE_int32(targets, 10, "targets");
+DEFINE_int32(callers, 8, "callers at a time");
+DEFINE_int32(network, 77, "addresses are 127.NETWORK.x.x");
+DEFINE_bool(faults, true, "false leaves only changes of the configuration");
+
+namespace sardinelead::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// After the last fault, until everything must be well again.
+constexpr Duration kRecovery = seconds(12);
+constexpr Duration kCheckedCalm = seconds(4);
+constexpr double kServedWhenCalm = 0.97;
+
+void RunFor(System* system, Duration span, bool disturb,
+            std::mt19937_64* random) {
+  const TimePoint end = Now() + span;
+  TimePoint next = Now() + milliseconds(500);
+  while (Now() < end) {
+    system->Watch();
+    if (disturb && Now() >= next) {
+      system->Disturb();
+      next = Now() + milliseconds((*random)() % 2500);
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+}
+
+// The newest acknowledged version is read back from some control process.
+void CheckReadBack(World* world) {
+  for (int round = 0; round < 20; ++round) {
+    for (const std::uint32_t control : world->controls) {
+      if (ReadConfig(world, control) >= world->ledger.NewestAccepted()) return;
+    }
+    std::this_thread::sleep_for(milliseconds(200));
+  }
+  world->ledger.Break("the newest acknowledged configuration cannot be read");
+}
+
+void CheckMetrics(World* world) {
+  for (const std::uint32_t edge : world->edges) {
+    HttpCall call;
+    call.path = "/metrics";
+    const auto page = CallHttp({IpAddress::FromV4(edge), 7735}, call);
+    const bool is_page =
+        page && page->status == 200 &&
+        page->body.find("sardinelead_packets_total") != std::string::npos;
+    if (!is_page) world->ledger.Break("a balancer serves no metrics");
+  }
+}
+
+bool RunSeed(std::uint64_t seed) {
+  SoakSettings settings;
+  settings.seed = seed;
+  settings.programs = FLAGS_programs;
+  settings.folder = FLAGS_folder + "/seed-" + std::to_string(seed);
+  settings.controls = FLAGS_controls;
+  settings.edges = FLAGS_edges;
+  settings.targets = FLAGS_targets;
+  settings.network = FLAGS_network;
+  std::filesystem::remove_all(settings.folder);
+  std::printf("seed %llu\n", static_cast<unsigned long long>(seed));  // NOLINT
+  World world;
+  std::vector<std::thread> actors;
+  std::mt19937_64 random(seed + 1);
+  {
+    System system(settings, &world);
+    system.Start();
+    if (!SendConfig(&world, 1, seconds(10), &random)) {
+      world.ledger.Break("the first configuration was not accepted");
+    }
+    actors.emplace_back([&world] { RunRouters(&world); });
+    RunFor(&system, seconds(2), false, &random);
+    for (int i = 0; i < FLAGS_callers; ++i) {
+      const std::uint32_t address = (world.edges.front() & 0xffff0000) + 0x401 +
+                                    static_cast<std::uint32_t>(i);
+      actors.emplace_back([&world, address, i, seed] {
+        RunCaller(&world, address, seed * 100 + static_cast<std::uint64_t>(i));
+      });
+    }
+    actors.emplace_back([&world, seed] { RunOperator(&world, seed); });
+    actors.emplace_back([&world, seed] { RunReader(&world, seed); });
+    RunFor(&system, seconds(FLAGS_seconds), FLAGS_faults, &random);
+    system.Heal();
+    RunFor(&system, kRecovery, false, &random);
+    world.ledger.TakeCounts();
+    RunFor(&system, kCheckedCalm, false, &random);
+    const auto [served, failed] = world.ledger.TakeCounts();
+    const double share =
+        static_cast<double>(served) /
+        static_cast<double>(std::max<std::uint64_t>(served + failed, 1));
+    if (share < kServedWhenCalm) {
+      world.ledger.Break("only " + std::to_string(served) + " of " +
+                         std::to_string(served + failed) +
+                         " requests were served after all was healed");
+    }
+    CheckReadBack(&world);
+    CheckMetrics(&world);
+    world.is_over = true;
+    for (std::thread& actor : actors) actor.join();
+  }
+  const bool is_kept = world.ledger.broken().empty();
+  std::printf("seed %llu: %s; %s\n",
+              static_cast<unsigned long long>(seed),  // NOLINT
+              is_kept ? "kept" : "BROKEN", world.ledger.Summary().c_str());
+  if (is_kept) std::filesystem::remove_all(settings.folder);
+  return is_kept;
+}
+
+int Main() {
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  int passed = 0;
+  int failed = 0;
+  std::istringstream seeds(FLAGS_seeds);
+  for (std::string seed; std::getline(seeds, seed, ',');) {
+    ++(RunSeed(std::stoull(seed)) ? passed : failed);
+  }
+  std::printf("%d passed, %d failed\n", passed, failed);
+  return failed == 0 && passed > 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace sardinelead::soak
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("runs the programs under random faults");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return sardinelead::soak::Main();
+}
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -11,6 +11,7 @@
 constexpr std::size_t kMaxRemovedRoutes = 10'000;
 // Between pulses; beyond it the process did not run.
 constexpr Duration kLongestPulse = std::chrono::milliseconds(200);
+constexpr Duration kJudgeInterval = std::chrono::milliseconds(500);
 
 // Whether sequence number `a` lies after `b`, on the ring of 32 bits.
 bool IsAfter(std::uint32_t a, std::uint32_t b) {
@@ -47,6 +48,20 @@
   return "unknown";
 }
 
+const char* Name(TargetBelief belief) {
+  switch (belief) {
+    case TargetBelief::kLost:
+      return "target-lost";
+    case TargetBelief::kAnswers:
+      return "target-answers";
+    case TargetBelief::kSilent:
+      return "target-silent";
+    case TargetBelief::kHeard:
+      return "target-heard";
+  }
+  return "unknown";
+}
+
 CookieBalancer::CookieBalancer(CookieBalancerSettings settings,
                                const TargetDirectory* directory, Hooks hooks)
     : m_settings(std::move(settings)),
@@ -259,6 +274,10 @@
       flow->is_repeating || age >= m_settings.placement.repeat_age;
   if (m_placement.OnRepeat(flow->target, flow->request_at, now)) {
     ResetFlowsOf(flow->target);
+    const TargetDirectory::Entry* entry = m_directory->Find(flow->target);
+    if (entry == nullptr) return;
+    m_lost.insert(flow->target);
+    Tell(TargetBelief::kLost, *entry, now);
   }
 }
 
@@ -287,6 +306,43 @@
 void CookieBalancer::OnPulse(TimePoint now) {
   if (now - m_pulse_at > kLongestPulse) m_trusted_since = now;
   m_pulse_at = now;
+  if (now - m_judged_at >= kJudgeInterval) JudgeTargets(now);
+}
+
+// Tells which beliefs changed.
+void CookieBalancer::JudgeTargets(TimePoint now) {
+  m_judged_at = now;
+  for (const auto& [number, entry] : m_directory->entries()) {
+    const bool is_silent =
+        entry.news.state != AnnouncedState::kEnded &&
+        m_hooks.covered_time() - entry.heard_at > m_settings.lease;
+    if (is_silent && m_silent.insert(number).second) {
+      Tell(TargetBelief::kSilent, entry, now);
+    }
+    if (!is_silent && m_silent.erase(number) != 0) {
+      Tell(TargetBelief::kHeard, entry, now);
+    }
+    if (!m_placement.IsLost(number) && m_lost.erase(number) != 0) {
+      Tell(TargetBelief::kAnswers, entry, now);
+    }
+  }
+}
+
+void CookieBalancer::Tell(TargetBelief belief,
+                          const TargetDirectory::Entry& entry,
+                          TimePoint now) const {
+  TargetJudgement judgement;
+  judgement.belief = belief;
+  judgement.target = entry.news.number;
+  judgement.address = entry.news.address;
+  judgement.pool = entry.news.pool;
+  judgement.unheard = m_hooks.covered_time() - entry.heard_at;
+  const TargetView* view = m_placement.Find(entry.news.number);
+  if (view != nullptr) {
+    judgement.unanswered = now - view->answered_at;
+    judgement.repeats = view->repeats;
+  }
+  m_hooks.on_judgement(judgement);
 }
 
 void CookieBalancer::Forget(const FlowKey& key) {
@@ -334,9 +390,26 @@
   return m_retries.front().at;
 }
 
-bool CookieBalancer::MayTakeFlows(const TargetDirectory::Entry& entry) const {
-  return entry.news.state == AnnouncedState::kReady &&
-         m_hooks.covered_time() - entry.heard_at <= m_settings.lease;
+bool CookieBalancer::HasLease(const TargetDirectory::Entry& entry) const {
+  return m_hooks.covered_time() - entry.heard_at <= m_settings.lease;
+}
+
+// Those with a lease or, where a pool has none, those without: that all are
+// silent at once says more of what carries their words than of them.
+void CookieBalancer::ListTargets() {
+  std::unordered_map<std::string, std::vector<PlacementTarget>> silent;
+  m_targets.clear();
+  for (const auto& [number, entry] : m_directory->entries()) {
+    if (entry.news.state != AnnouncedState::kReady) continue;
+    PlacementTarget target;
+    target.number = number;
+    target.slots = entry.news.slots;
+    target.is_local = entry.news.data_centre == m_settings.data_centre;
+    target.is_cold = m_hooks.covered_time() < entry.warm_at;
+    auto& list = HasLease(entry) ? m_targets : silent;
+    list[entry.news.pool].push_back(target);
+  }
+  m_targets.merge(silent);
 }
 
 const std::vector<PlacementTarget>& CookieBalancer::TargetsOf(
@@ -344,18 +417,9 @@
   const bool is_current = m_targets_revision == m_directory->revision() &&
                           now - m_targets_made_at < kTargetsAge;
   if (!is_current) {
-    m_targets.clear();
+    ListTargets();
     m_targets_revision = m_directory->revision();
     m_targets_made_at = now;
-    for (const auto& [number, entry] : m_directory->entries()) {
-      if (!MayTakeFlows(entry)) continue;
-      PlacementTarget target;
-      target.number = number;
-      target.slots = entry.news.slots;
-      target.is_local = entry.news.data_centre == m_settings.data_centre;
-      target.is_cold = m_hooks.covered_time() < entry.warm_at;
-      m_targets[entry.news.pool].push_back(target);
-    }
   }
   return m_targets[pool];
 }
--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -67,7 +67,7 @@
       (subscriber.acknowledged < revision || subscriber.version < version) &&
       now - subscriber.reported_at >= m_settings.repeat_interval;
   return is_news || is_lost ||
-         now - subscriber.reported_at >= m_settings.report_interval;
+         now - subscriber.living_at >= m_settings.report_interval;
 }
 
 Outbox FeedPublisher::OnTick(TimePoint now) {
@@ -83,8 +83,9 @@
     ++it;
     if (!IsDue(subscriber, version, now)) continue;
     const bool with_living =
-        now - subscriber.reported_at >= m_settings.report_interval;
+        now - subscriber.living_at >= m_settings.report_interval;
     subscriber.reported_at = now;
+    if (with_living) subscriber.living_at = now;
     subscriber.sent_revision = m_directory->revision();
     subscriber.sent_version = version;
     out.push_back({id, MessageKind::kFeed,
--- a/src/route_table.cc
+++ b/src/route_table.cc
@@ -128,7 +128,7 @@
                   "address " + route.address.ToString() + " has two routes",
                   PathOf("routes", i, "address"));
     }
-    const auto checked = CheckRoute(route, i, pools);
+    auto checked = CheckRoute(route, i, pools);
     if (!checked) return checked;
   }
   return {};
--- a/tests/cookie_balancer_test.cc
+++ b/tests/cookie_balancer_test.cc
@@ -24,9 +24,11 @@
   CPPUNIT_TEST(LateAnswerOfASecondTargetDoesNotMoveTheFlow);
   CPPUNIT_TEST(CopiesOfAnOpeningPacketGoElsewhere);
   CPPUNIT_TEST(FlowsOfALostTargetAreReset);
+  CPPUNIT_TEST(TellsWhichTargetsAreSilent);
   CPPUNIT_TEST(NonIdempotentRequestsUnderWayAreNotReset);
   CPPUNIT_TEST(AStalledBalancerDoesNotJudge);
   CPPUNIT_TEST(DrainingAndSilentTargetsTakeNoNewFlows);
+  CPPUNIT_TEST(SilentTargetsAreUsedWhereThereAreNoOthers);
   CPPUNIT_TEST(EndedTargetResetsAfterItsGrace);
   CPPUNIT_TEST(NewFlowsWithoutARouteAreRefusedAtOnce);
   CPPUNIT_TEST(RemovedRouteEndsItsFlowsUnknownOneDoesNot);
@@ -146,6 +148,20 @@
       const Forwarding opened = m_balancer.OnPacket(Opening(port), kSyn, m_now);
       CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, opened.target);
     }
+    CPPUNIT_ASSERT(m_told == std::vector<TargetBelief>{TargetBelief::kLost});
+  }
+
+  // A lease that ended and one that was renewed are told once each.
+  void TellsWhichTargetsAreSilent() {
+    m_now += 4 * kSecond;
+    Pulse();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_told.size());
+    CPPUNIT_ASSERT(m_told[0] == TargetBelief::kSilent);
+    m_directory.Renew(CookieOf(1), m_now);
+    m_now += kSecond;
+    Pulse();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_told.size());
+    CPPUNIT_ASSERT(m_told[2] == TargetBelief::kHeard);
   }
 
   void NonIdempotentRequestsUnderWayAreNotReset() {
@@ -195,6 +211,15 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, next.target);
   }
 
+  // All silent at once says more of what carries their words than of them.
+  void SilentTargetsAreUsedWhereThereAreNoOthers() {
+    m_now += 10 * kSecond;
+    const Forwarding opened = m_balancer.OnPacket(Opening(1), kSyn, m_now);
+    CPPUNIT_ASSERT(opened.action == ForwardAction::kForward);
+    AddTarget(3, "10.0.0.3:80", 100);
+    AssertOnlyTarget(3);
+  }
+
   void EndedTargetResetsAfterItsGrace() {
     TargetNews ended = m_directory.Find(1)->news;
     ended.state = AnnouncedState::kEnded;
@@ -291,7 +316,10 @@
     return CookieBalancer(
         settings, &m_directory,
         {[this] { return m_random(); }, [this] { return m_now; },
-         [] { return std::size_t{1}; }, [this] { return m_is_gathering; }});
+         [] { return std::size_t{1}; }, [this] { return m_is_gathering; },
+         [this](const TargetJudgement& judgement) {
+           m_told.push_back(judgement.belief);
+         }});
   }
 
   void SetRoutes(std::uint64_t version,
@@ -386,6 +414,7 @@
   TimePoint m_now{std::chrono::seconds(100)};
   std::mt19937_64 m_random{11};
   bool m_is_gathering = false;
+  std::vector<TargetBelief> m_told;
   std::uint16_t m_next_port = 1000;
   TimePoint m_pulsed_at = m_now;
   TargetDirectory m_directory;
--- a/tests/target_feed_test.cc
+++ b/tests/target_feed_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(RestartedControlIsFollowedAnew);
   CPPUNIT_TEST(ANewSubscriberLearnsAllFromOne);
   CPPUNIT_TEST(OthersTargetsAreNotReportedAsLiving);
+  CPPUNIT_TEST(AStormOfVersionsDoesNotHideLivingTargets);
   CPPUNIT_TEST(CoveredTimeStandsWhileControlsAreSilent);
   CPPUNIT_TEST(ReadyOnceAllOrLongEnough);
   CPPUNIT_TEST(MembersThatNoListNamesAreForgotten);
@@ -130,6 +131,21 @@
     CPPUNIT_ASSERT(m_directory.Find(9)->heard_at > before);
   }
 
+  // Found by the soak: each new version put off the report of living targets.
+  void AStormOfVersionsDoesNotHideLivingTargets() {
+    SetRoutes(1);
+    Hear(NodeId{1}, 5, 1, AnnouncedState::kReady);
+    Run(kSecond);
+    for (std::uint64_t version = 2; version < 30; ++version) {
+      SetRoutes(version);
+      Hear(NodeId{1}, 5, version, AnnouncedState::kReady);
+      Run(milliseconds(300));
+      const Duration unheard =
+          m_follower->CoveredTime() - m_directory.Find(5)->heard_at;
+      CPPUNIT_ASSERT(unheard < milliseconds(1500));
+    }
+  }
+
   // So that silent control VMs are not taken for silent targets.
   void CoveredTimeStandsWhileControlsAreSilent() {
     SetRoutes(1);
