--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export CCACHE_BASEDIR = $(CURDIR)
 export CCACHE_NOHASHDIR = 1
 CXX_FILES := $(wildcard include/sardinelead/*.h src/*.h src/*.cc daemons/*.h \
-	daemons/*.cc demo/*.h demo/*.cc platform/*.h platform/*.cc tests/*.h tests/*.cc bench/*.h bench/*.cc)
+	daemons/*.cc demo/*.h demo/*.cc platform/*.h platform/*.cc soak/*.h soak/*.cc tests/*.h tests/*.cc bench/*.h bench/*.cc)
 
 .PHONY: all packages build demo test bench capacity sanitize spec format \
 	check-format lint clean
--- a/soak/actors.cc
+++ b/soak/actors.cc
@@ -519,7 +519,6 @@
 
 std::uint64_t ReadConfig(World* world, std::uint32_t control) {
   const std::uint64_t newest = world->ledger.NewestAccepted();
-  const TimePoint sent = Now();
   const auto answer =
       Call(control, kCallRelayPort, HttpMethod::kGet, "/config/read", "");
   if (!answer || answer->status != 200) return 0;
@@ -529,7 +528,7 @@
     return 0;
   }
   const std::uint64_t version = body["version"].get<std::uint64_t>();
-  world->ledger.OnRead(sent, newest, version, answer->body);
+  world->ledger.OnRead(newest, version, answer->body);
   return version;
 }
 
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -19,14 +19,14 @@
   const std::lock_guard<std::mutex> lock(m_mutex);
   std::printf("fault %s at %s\n", how.c_str(),
               IpAddress::FromV4(node).ToString().c_str());
-  m_disturbed_at[node] = Now();
-  if (is_control) m_core_disturbed_at = Now();
+  m_disturbed_at[node] = Time();
+  if (is_control) m_core_disturbed_at = Time();
 }
 
 void Ledger::Stop(std::uint32_t node, bool is_control) {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  m_stopped_at[node] = Now();
-  if (is_control) m_core_disturbed_at = Now();
+  m_stopped_at[node] = Time();
+  if (is_control) m_core_disturbed_at = Time();
 }
 
 void Ledger::BeginDisturbance(std::uint32_t node, bool is_control,
@@ -39,8 +39,8 @@
 void Ledger::EndDisturbance(std::uint32_t node, bool is_control) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_disturbed_now.erase(node);
-  m_disturbed_at[node] = Now();
-  if (is_control) m_core_disturbed_at = Now();
+  m_disturbed_at[node] = Time();
+  if (is_control) m_core_disturbed_at = Time();
 }
 
 bool Ledger::IsInTouch(std::uint32_t node, TimePoint since) const {
@@ -63,13 +63,13 @@
   const std::lock_guard<std::mutex> lock(m_mutex);
   Config& config = m_configs[version];
   if (!config.text.empty()) return;
-  config = {text, routes, Now(), {}};
+  config = {text, routes, Time(), {}};
 }
 
 void Ledger::OnAccepted(std::uint64_t version) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   Config& config = m_configs[version];
-  if (config.accepted_at == TimePoint{}) config.accepted_at = Now();
+  if (config.accepted_at == TimePoint{}) config.accepted_at = Time();
   m_newest_accepted = std::max(m_newest_accepted, version);
 }
 
@@ -78,8 +78,8 @@
   return m_newest_accepted;
 }
 
-void Ledger::OnRead(TimePoint, std::uint64_t newest_at_send,
-                    std::uint64_t version, const std::string& text) {
+void Ledger::OnRead(std::uint64_t newest_at_send, std::uint64_t version,
+                    const std::string& text) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   ++m_reads;
   if (version < newest_at_send) {
@@ -96,8 +96,8 @@
 
 void Ledger::OnDrainAcknowledged(std::uint64_t target, std::uint32_t control) {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  if (IsInTouch(control, Now()))
-    m_drains.try_emplace(target, Drain{Now(), control});
+  if (IsInTouch(control, Time()))
+    m_drains.try_emplace(target, Drain{Time(), control});
 }
 
 void Ledger::OnTargetDown(std::uint64_t target) {
@@ -140,8 +140,8 @@
                 " opened under an outdated configuration");
   }
   const auto drain = m_drains.find(target);
-  const bool is_late =
-      drain != m_drains.end() && Now() - drain->second.acknowledged_at > kDrain;
+  const bool is_late = drain != m_drains.end() &&
+                       Time() - drain->second.acknowledged_at > kDrain;
   if (is_late && IsInTouch(edge, drain->second.acknowledged_at)) {
     BreakLocked("a draining target got a new flow through " +
                 IpAddress::FromV4(edge).ToString());
@@ -176,7 +176,7 @@
                      const Endpoint& service, const std::string& what) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   ++m_resets;
-  const TimePoint now = Now();
+  const TimePoint now = Time();
   bool has_route = true;
   std::uint64_t floor = 0;
   for (const auto& [version, config] : m_configs) {
@@ -216,6 +216,11 @@
   return m_broken;
 }
 
+void Ledger::SkipTime(Duration span) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_skipped += span;
+}
+
 std::string Ledger::Summary() const {
   const std::lock_guard<std::mutex> lock(m_mutex);
   return std::to_string(m_served) + " served (" + std::to_string(m_late) +
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -42,8 +42,8 @@
               const std::map<Endpoint, std::string>& routes);
   void OnAccepted(std::uint64_t version);
   std::uint64_t NewestAccepted() const;
-  void OnRead(TimePoint sent_at, std::uint64_t newest_at_send,
-              std::uint64_t version, const std::string& text);
+  void OnRead(std::uint64_t newest_at_send, std::uint64_t version,
+              const std::string& text);
 
   // Targets.
   void OnDrainAcknowledged(std::uint64_t target, std::uint32_t control);
@@ -63,6 +63,8 @@
   void OnProcessEnded(const std::string& name, int status);
   void Break(const std::string& what);
 
+  // For tests: as if so much time had passed.
+  void SkipTime(Duration span);
   std::vector<std::string> broken() const;  // NOLINT
   std::string Summary() const;
   // Served and failed requests since the last call.
@@ -80,6 +82,7 @@
     std::uint32_t control = 0;
   };
 
+  TimePoint Time() const { return Now() + m_skipped; }
   bool IsInTouch(std::uint32_t node, TimePoint since) const;
   void BreakLocked(const std::string& what);
   // Whether no version that may be in force at `at` has this route to `pool`.
@@ -90,6 +93,7 @@
   std::map<std::uint32_t, TimePoint> m_disturbed_at;
   std::map<std::uint32_t, TimePoint> m_stopped_at;
   std::set<std::uint32_t> m_disturbed_now;
+  Duration m_skipped{0};
   TimePoint m_core_disturbed_at = Now();
   std::map<std::uint64_t, Config> m_configs;
   std::uint64_t m_newest_accepted = 0;
--- a/tests/cookie_balancer_test.cc
+++ b/tests/cookie_balancer_test.cc
@@ -13,6 +13,7 @@
 constexpr Duration kSecond = std::chrono::seconds(1);
 const Endpoint kService = *Endpoint::Parse("198.18.0.1:8443");
 const Endpoint kNotes = *Endpoint::Parse("198.18.0.1:8080");
+const Bytes kSyn = {1, 2, 3};
 
 class CookieBalancerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CookieBalancerTest);
@@ -308,8 +309,6 @@
  private:
   static constexpr std::uint32_t kAcknowledged = 5000;
   static constexpr std::uint32_t kSequence = 1000;
-  const Bytes kSyn = {1, 2, 3};
-
   CookieBalancer MakeBalancer() {
     CookieBalancerSettings settings;
     settings.data_centre = "a";
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -295,7 +295,7 @@
     for (std::size_t size = 0; size < beat.size(); ++size) {
       CPPUNIT_ASSERT(!Heartbeat(beat.substr(0, size)));
     }
-    CPPUNIT_ASSERT(!Heartbeat("\xff\xfe\x00 not text"));
+    CPPUNIT_ASSERT(!Heartbeat("\xff\xfe not text"));
     CPPUNIT_ASSERT(!Heartbeat("[1]"));
   }
 
