--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -100,8 +100,9 @@
   std::uint64_t target = 0;
   Endpoint address;
   std::string pool;
-  Duration unheard{0};     // Since its newest word, in covered time.
-  Duration unanswered{0};  // Since it last answered a flow of this balancer.
+  Duration unheard{0};  // Since its newest word, in covered time.
+  // Since it last answered a flow of this balancer; empty where it never did.
+  std::optional<Duration> unanswered;
   std::uint32_t repeats = 0;
 };
 
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "sardinelead/http_client.h"
+
 namespace sardinelead::soak {
 namespace {
 
@@ -172,12 +174,19 @@
   m_later.push_back({Now() + delay, std::move(action)});
 }
 
-// A disk may be lost only while all others have theirs and vote.
-bool System::MayLoseControl() const {
-  return std::all_of(m_processes.begin(), m_processes.end(), [](const auto& p) {
-    const bool is_well = p->child->IsRunning() && !p->is_stopped && !p->is_full;
-    return !p->is_control || is_well;
-  });
+// One disk may be lost at a time: the one lost before is made good only once
+// its control process votes again, as all do that confirm a read.
+bool System::MayLoseDisk() const {
+  for (const auto& process : m_processes) {
+    if (!process->is_control) continue;
+    HttpCall call;
+    call.path = "/config/read";
+    call.deadline = milliseconds(300);
+    const Endpoint control{IpAddress::FromV4(process->node), kControlPort};
+    const auto answer = CallHttp(control, call);
+    if (!answer || answer->status != 200 || process->is_full) return false;
+  }
+  return true;
 }
 
 void System::Kill(Process* process, bool wipe) {
@@ -368,7 +377,7 @@
   Process* edge = DrawProcess(false);
   if (draw == 0 && edge != nullptr) return Kill(edge, false);
   if (draw == 1 && control != nullptr) return Kill(control, false);
-  if (draw == 2 && control != nullptr && MayLoseControl()) {
+  if (draw == 2 && control != nullptr && MayLoseDisk()) {
     return Kill(control, true);
   }
   if (draw == 3 && edge != nullptr) return Freeze(edge);
@@ -380,7 +389,7 @@
   if (draw == 7) return SplitCore();
   if (draw == 8) return Disorder();
   if (draw == 9 && control != nullptr) return FillDisk(control);
-  if (draw == 10 && control != nullptr && MayLoseControl()) {
+  if (draw == 10 && control != nullptr && MayLoseDisk()) {
     return DamageDisk(control);
   }
   if (draw == 11 && control != nullptr) return BreakCalls(control);
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -69,7 +69,7 @@
   Process* DrawProcess(bool is_control);
   Duration DrawSpan(int from_ms, int to_ms);
   void In(Duration delay, std::function<void()> action);
-  bool MayLoseControl() const;
+  bool MayLoseDisk() const;
 
   void Kill(Process* process, bool wipe);
   void Terminate(Process* process);
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -339,7 +339,9 @@
   judgement.unheard = m_hooks.covered_time() - entry.heard_at;
   const TargetView* view = m_placement.Find(entry.news.number);
   if (view != nullptr) {
-    judgement.unanswered = now - view->answered_at;
+    if (view->answered_at != TimePoint{}) {
+      judgement.unanswered = now - view->answered_at;
+    }
     judgement.repeats = view->repeats;
   }
   m_hooks.on_judgement(judgement);
