--- a/soak/actors.h
+++ b/soak/actors.h
@@ -49,8 +49,6 @@
   std::atomic<std::uint64_t> m_last_request{0};
 };
 
-bool MayRepeat(const Endpoint& service);
-
 class TargetActor {
  public:
   TargetActor(World* world, std::uint64_t number, std::string pool,
--- /dev/null
+++ b/soak/caller.cc
@@ -0,0 +1,206 @@
+// Callers: flows of several requests, repeated as the platform's pages say.
+
+#include <algorithm>
+#include <optional>
+#include <random>
+
+#include "actors.h"
+#include "big_endian.h"
+#include "services.h"
+#include "wire.h"
+
+namespace sardinelead::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kRequestDeadline = std::chrono::seconds(3);
+constexpr Duration kAttempt = milliseconds(1400);
+
+// One flow of a caller.
+class CallerFlow {
+ public:
+  CallerFlow(World* world, const UdpSocket* socket, const Endpoint& caller,
+             const Endpoint& service, std::mt19937_64* random)
+      : m_world(world),
+        m_socket(socket),
+        m_caller(caller),
+        m_service(service),
+        m_sequence(static_cast<std::uint32_t>((*random)())) {}
+
+  bool Open() {
+    Packet syn = Make(kOpen);
+    const TimePoint begin = Now();
+    const Duration copies[] = {Duration{0}, milliseconds(200),
+                               milliseconds(600)};
+    for (std::uint32_t copy = 0; copy < 3; ++copy) {
+      syn.acknowledged = copy;
+      Send(syn);
+      const Duration until = copy < 2 ? copies[copy + 1] : kAttempt;
+      const auto answer = Wait(begin + until, kOpen, m_sequence + 1);
+      if (m_is_reset || m_world->is_over) return false;
+      if (!answer) continue;
+      m_cookie = answer->cookie;
+      m_sequence += 1;
+      m_acknowledged = answer->sequence + 1;
+      m_is_open = true;
+      m_target = m_world->TargetAt(m_answered_by);
+      Send(Make(kAcknowledge));
+      return true;
+    }
+    return false;
+  }
+
+  // Whether the request was answered.
+  bool Request(std::uint64_t request) {
+    Packet packet = Make(kAcknowledge);
+    packet.data.resize(9);
+    StoreBig(request, packet.data.data());
+    packet.data[8] = MayRepeat(m_service) ? 1 : 0;
+    const TimePoint begin = Now();
+    const TimePoint end = begin + kRequestDeadline;
+    for (Duration wait = milliseconds(200); Now() < end && !m_world->is_over;
+         wait *= 2) {
+      packet.cookie = m_cookie;
+      Send(packet);
+      const auto answer =
+          Wait(std::min(Now() + wait, end), kAcknowledge,
+               m_sequence + static_cast<std::uint32_t>(packet.data.size()));
+      if (m_is_reset) return false;
+      if (!answer) continue;
+      m_sequence += static_cast<std::uint32_t>(packet.data.size());
+      m_acknowledged += static_cast<std::uint32_t>(answer->data.size());
+      Check(request, *answer, Now() - begin > milliseconds(500));
+      Packet acknowledge = Make(kAcknowledge);
+      Send(acknowledge);
+      return true;
+    }
+    return false;
+  }
+
+  void Finish() { Send(Make(kFinish | kAcknowledge)); }
+
+ private:
+  void Check(std::uint64_t request, const Packet& answer, bool was_late) {
+    const bool has_id = answer.data.size() >= 8;
+    const std::uint64_t answered =
+        has_id ? LoadBig<std::uint64_t>(answer.data.data()) : 0;
+    const bool is_whole =
+        answer.data.size() == kAnswerBytes &&
+        std::all_of(answer.data.begin() + 8, answer.data.end(),
+                    [](std::uint8_t b) { return b == kAnswerMark; });
+    m_world->ledger.OnAnswer(request, answered, is_whole, was_late);
+  }
+
+  Packet Make(std::uint8_t flags) const {
+    Packet packet;
+    packet.source = m_caller;
+    packet.destination = m_service;
+    packet.flags = flags;
+    packet.sequence = m_sequence;
+    packet.acknowledged = m_acknowledged;
+    packet.cookie = m_cookie;
+    return packet;
+  }
+
+  void Send(const Packet& packet) {
+    const auto edges = m_world->InRotation();
+    if (edges.empty()) return;
+    FlowKey key;
+    key.caller = m_caller;
+    key.service = m_service;
+    const std::uint32_t edge = edges[key.Hash() % edges.size()];
+    m_socket->Send({IpAddress::FromV4(edge), kPacketPort}, packet.Encode());
+  }
+
+  // A packet of this flow with `flag` that acknowledges `acknowledged`, and
+  // with data unless it opens the flow.
+  std::optional<Packet> Wait(TimePoint until, std::uint8_t flag,
+                             std::uint32_t acknowledged) {
+    while (Now() < until && !m_world->is_over) {
+      Endpoint source;
+      const auto bytes = m_socket->Receive(
+          std::min<Duration>(until - Now(), milliseconds(20)), &source);
+      if (!bytes) continue;
+      bool is_whole = false;
+      auto packet = Packet::Decode(*bytes, &is_whole);
+      const bool is_own = packet && packet->destination == m_caller &&
+                          packet->source == m_service;
+      if (!is_own) continue;
+      if ((packet->flags & kReset) != 0) {
+        m_is_reset = true;
+        if (!is_whole) OnBalancersReset(source.address.ToV4());
+        return std::nullopt;
+      }
+      if (!is_whole) {
+        m_world->ledger.Break("a caller got a packet that no target sent");
+      }
+      const bool is_answer = (packet->flags & flag) != 0 &&
+                             packet->acknowledged == acknowledged &&
+                             (flag == kOpen || !packet->data.empty());
+      if (!is_answer) continue;
+      m_answered_by = source;
+      m_cookie = packet->cookie;
+      return packet;
+    }
+    return std::nullopt;
+  }
+
+  void OnBalancersReset(std::uint32_t edge) {
+    m_world->ledger.OnReset(m_target, m_is_open, edge, m_service,
+                            m_caller.ToString() + " to " +
+                                m_service.ToString() + " at target " +
+                                m_answered_by.ToString());
+  }
+
+  World* m_world;
+  const UdpSocket* m_socket;
+  Endpoint m_caller;
+  Endpoint m_service;
+  std::uint32_t m_sequence;
+  std::uint32_t m_acknowledged = 0;
+  std::uint32_t m_cookie = 0;
+  bool m_is_open = false;
+  bool m_is_reset = false;
+  Endpoint m_answered_by;      // Whoever sent the last packet taken.
+  std::uint64_t m_target = 0;  // At which the flow opened.
+};
+
+// A service to call: mostly one that always has a route.
+Endpoint DrawService(std::mt19937_64* random) {
+  const Endpoint fixed[] = {NotesService(), WatchService(), PhotosService(),
+                            WatchService()};
+  const std::uint64_t draw = (*random)();
+  if (draw % 10 < 7) return fixed[draw / 10 % 4];
+  return ExtraService(static_cast<std::uint16_t>(draw / 10 % kExtraRoutes));
+}
+
+}  // namespace
+
+void RunCaller(World* world, std::uint32_t address, std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  const UdpSocket socket({IpAddress::FromV4(address), kPacketPort});
+  std::uint16_t port = 1024;
+  while (!world->is_over) {
+    const Endpoint service = DrawService(&random);
+    port = port >= 60'000 ? 1024 : static_cast<std::uint16_t>(port + 1);
+    const bool is_owed = !IsExtra(service);
+    CallerFlow flow(world, &socket, {IpAddress::FromV4(address), port}, service,
+                    &random);
+    bool is_open = flow.Open();
+    if (!is_open && is_owed && !world->is_over) world->ledger.OnFailed(0);
+    const std::uint64_t requests = 1 + random() % 12;
+    for (std::uint64_t i = 0; is_open && i < requests; ++i) {
+      const std::uint64_t request = world->NextRequest();
+      is_open = flow.Request(request);
+      if (!is_open && is_owed && !world->is_over) {
+        world->ledger.OnFailed(request);
+      }
+      Sleep(milliseconds(random() % 200));
+    }
+    if (is_open) flow.Finish();
+    Sleep(milliseconds(20 + random() % 50));
+  }
+}
+
+}  // namespace sardinelead::soak
