--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -96,8 +96,8 @@
 
 void Ledger::OnDrainAcknowledged(std::uint64_t target, std::uint32_t control) {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  if (IsInTouch(control, Time()))
-    m_drains.try_emplace(target, Drain{Time(), control});
+  if (!IsInTouch(control, Time())) return;
+  m_drains.try_emplace(target, Drain{Time(), control});
 }
 
 void Ledger::OnTargetDown(std::uint64_t target) {
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -158,8 +158,8 @@
   std::vector<Process*> fit;
   for (const auto& process : m_processes) {
     const bool is_up = process->child->IsRunning() && !process->is_stopped;
-    if (process->is_control == is_control && is_up)
-      fit.push_back(process.get());
+    if (process->is_control != is_control || !is_up) continue;
+    fit.push_back(process.get());
   }
   if (fit.empty()) return nullptr;
   return fit[m_random() % fit.size()];
--- a/soak/relay.cc
+++ b/soak/relay.cc
@@ -66,7 +66,7 @@
 }
 
 void PeerRelay::OnDatagram(std::uint32_t to, std::uint32_t from,
-                           Bytes datagram) {
+                           const Bytes& datagram) {
   LinkFault fault;
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/soak/relay.h
+++ b/soak/relay.h
@@ -41,7 +41,7 @@
  private:
   struct Node;
   void Wait(Node* node);
-  void OnDatagram(std::uint32_t to, std::uint32_t from, Bytes datagram);
+  void OnDatagram(std::uint32_t to, std::uint32_t from, const Bytes& datagram);
   void Forward(std::uint32_t from, std::uint32_t to, const Bytes& datagram);
 
   asio::io_context* m_context;
