Say it once: leases, the version in force, what nothing calls

Cause: the change read as a newcomer would. The lease check stood twice in CookieBalancer, the newest version in force twice in the soak's ledger, a map had values that nobody read, a list was filled in two steps, and HeardByDataCentre, FlowPlacement::Forget and UdpPort::counts had no caller. No behaviour, check or bound changes.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -20,7 +20,7 @@
 //   for (Forwarding& f : balancer.OnTick(now)) ...
 //
 // docs/design/platform.md weighs this against flow records. Sans-I/O, for one
-// thread. Cost of a packet: two hash lookups; of an opening one, a pass over
+// thread. Cost of a packet: a few hash lookups; of an opening one, a pass over
 // the pool's targets. Memory: some 150 bytes a flow that was seen of late.
 
 #include <cstdint>
@@ -29,6 +29,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "sardinelead/flow_placement.h"
@@ -204,7 +205,7 @@
   FlowPlacement m_placement;
   RouteTablePtr m_routes;
   // Addresses that lost their route while this process ran.
-  std::unordered_map<Endpoint, bool, EndpointHash> m_removed_routes;
+  std::unordered_set<Endpoint, EndpointHash> m_removed_routes;
   std::unordered_map<FlowKey, Flow, HashFlowKey> m_flows;
   std::vector<Retry> m_retries;  // In order of time.
   std::vector<Forwarding> m_resets;
--- a/include/sardinelead/flow_placement.h
+++ b/include/sardinelead/flow_placement.h
@@ -92,7 +92,6 @@
   // target is lost, which is told once.
   bool OnRepeat(std::uint64_t target, TimePoint sent_at, TimePoint now);
   void OnClosed(std::uint64_t target);
-  void Forget(std::uint64_t target) { m_views.erase(target); }
 
   bool IsLost(std::uint64_t target) const;
   // Whether opening packets to the target go unanswered, or it is lost.
--- a/include/sardinelead/target_feed.h
+++ b/include/sardinelead/target_feed.h
@@ -136,8 +136,6 @@
   // Grows only while most control VMs are heard: a target's silence in it is
   // the target's own.
   TimePoint CoveredTime() const { return m_covered; }
-  // Control VMs heard of late, by data centre.
-  std::map<std::string, std::size_t> HeardByDataCentre(TimePoint now) const;
   std::size_t SourceCount() const { return m_sources.size(); }
   std::size_t HeardCount(TimePoint now) const;
   // Balancers of this data centre, this one included; 1 where not told.
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -97,7 +97,7 @@
 void Ledger::OnDrainAcknowledged(std::uint64_t target, std::uint32_t control) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   if (!IsInTouch(control, Time())) return;
-  m_drains.try_emplace(target, Drain{Time(), control});
+  m_drains.try_emplace(target, Time());
 }
 
 void Ledger::OnTargetDown(std::uint64_t target) {
@@ -105,15 +105,19 @@
   m_down_targets.insert(target);
 }
 
-bool Ledger::IsForbidden(const Endpoint& service, const std::string& pool,
-                         TimePoint at) const {
-  // The newest version that must be in force, and all sent since, may hold.
-  std::uint64_t floor = 0;
+std::uint64_t Ledger::NewestInForce(TimePoint at) const {
+  std::uint64_t newest = 0;
   for (const auto& [version, config] : m_configs) {
     const bool must_hold = config.accepted_at != TimePoint{} &&
                            config.accepted_at + kConfigApply < at;
-    if (must_hold) floor = std::max(floor, version);
+    if (must_hold) newest = std::max(newest, version);
   }
+  return newest;
+}
+
+bool Ledger::IsForbidden(const Endpoint& service, const std::string& pool,
+                         TimePoint at) const {
+  const std::uint64_t floor = NewestInForce(at);
   for (const auto& [version, config] : m_configs) {
     if (version < floor) continue;
     const auto found = config.routes.find(service);
@@ -140,9 +144,9 @@
                 " opened under an outdated configuration");
   }
   const auto drain = m_drains.find(target);
-  const bool is_late = drain != m_drains.end() &&
-                       Time() - drain->second.acknowledged_at > kDrain;
-  if (is_late && IsInTouch(edge, drain->second.acknowledged_at)) {
+  const bool is_late =
+      drain != m_drains.end() && Time() - drain->second > kDrain;
+  if (is_late && IsInTouch(edge, drain->second)) {
     BreakLocked("a draining target got a new flow through " +
                 IpAddress::FromV4(edge).ToString());
   }
@@ -177,13 +181,8 @@
   const std::lock_guard<std::mutex> lock(m_mutex);
   ++m_resets;
   const TimePoint now = Time();
+  const std::uint64_t floor = NewestInForce(now);
   bool has_route = true;
-  std::uint64_t floor = 0;
-  for (const auto& [version, config] : m_configs) {
-    const bool must_hold = config.accepted_at != TimePoint{} &&
-                           config.accepted_at + kConfigApply < now;
-    if (must_hold) floor = version;
-  }
   for (const auto& [version, config] : m_configs) {
     if (version < floor) continue;
     has_route = has_route && config.routes.count(service) != 0;
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -77,14 +77,12 @@
     TimePoint sent_at;
     TimePoint accepted_at;  // Zero where it was not.
   };
-  struct Drain {
-    TimePoint acknowledged_at;
-    std::uint32_t control = 0;
-  };
 
   TimePoint Time() const { return Now() + m_skipped; }
   bool IsInTouch(std::uint32_t node, TimePoint since) const;
   void BreakLocked(const std::string& what);
+  // The newest version that must be in force everywhere at `at`; 0 for none.
+  std::uint64_t NewestInForce(TimePoint at) const;
   // Whether no version that may be in force at `at` has this route to `pool`.
   bool IsForbidden(const Endpoint& service, const std::string& pool,
                    TimePoint at) const;
@@ -97,7 +95,8 @@
   TimePoint m_core_disturbed_at = Now();
   std::map<std::uint64_t, Config> m_configs;
   std::uint64_t m_newest_accepted = 0;
-  std::map<std::uint64_t, Drain> m_drains;
+  // When a control process in touch acknowledged that they leave.
+  std::map<std::uint64_t, TimePoint> m_drains;
   std::set<std::uint64_t> m_down_targets;
   std::map<std::uint64_t, std::uint64_t> m_runs;  // Request to target.
   std::vector<std::string> m_broken;
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -76,7 +76,7 @@
     for (const Route& route : m_routes->routes) {
       const bool is_kept = routes->Find(route.address) != nullptr ||
                            m_removed_routes.size() >= kMaxRemovedRoutes;
-      if (!is_kept) m_removed_routes[route.address] = true;
+      if (!is_kept) m_removed_routes.insert(route.address);
     }
   }
   for (const Route& route : routes->routes) {
@@ -314,8 +314,7 @@
   m_judged_at = now;
   for (const auto& [number, entry] : m_directory->entries()) {
     const bool is_silent =
-        entry.news.state != AnnouncedState::kEnded &&
-        m_hooks.covered_time() - entry.heard_at > m_settings.lease;
+        entry.news.state != AnnouncedState::kEnded && !HasLease(entry);
     if (is_silent && m_silent.insert(number).second) {
       Tell(TargetBelief::kSilent, entry, now);
     }
@@ -361,10 +360,9 @@
 }
 
 std::vector<Forwarding> CookieBalancer::OnTick(TimePoint now) {
-  std::vector<Retry> due;
   const auto later = std::find_if(m_retries.begin(), m_retries.end(),
                                   [&](const Retry& r) { return r.at > now; });
-  due.assign(m_retries.begin(), later);
+  const std::vector<Retry> due(m_retries.begin(), later);
   m_retries.erase(m_retries.begin(), later);
   std::vector<Forwarding> out;
   for (const Retry& retry : due) {
--- a/src/feed_follower.cc
+++ b/src/feed_follower.cc
@@ -172,16 +172,6 @@
       [&](const auto& item) { return IsHeard(item.second, now); }));
 }
 
-std::map<std::string, std::size_t> FeedFollower::HeardByDataCentre(
-    TimePoint now) const {
-  std::map<std::string, std::size_t> heard;
-  for (const auto& [id, source] : m_sources) {
-    if (!source.was_heard) continue;
-    heard[source.data_centre] += IsHeard(source, now) ? 1 : 0;
-  }
-  return heard;
-}
-
 bool FeedFollower::IsReady(TimePoint now) const {
   if (m_version.value == 0 || !m_first_report_at) return false;
   const bool has_gathered = now - *m_first_report_at >= m_settings.gathering;
--- a/src/udp_port.h
+++ b/src/udp_port.h
@@ -35,8 +35,6 @@
   void Send(const Endpoint& to, ByteView head, ByteView body);
   void Flush();
 
-  const SendCounts& counts() const { return m_counts; }  // NOLINT
-
  private:
   void Wait();
   void Receive();
