--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -107,6 +107,19 @@
   std::uint32_t repeats = 0;
 };
 
+// How long one step of a flow took, as the balancer sees it.
+enum class FlowStep : std::uint8_t {
+  kOpening,  // From the opening packet to the caller's next one.
+  kAnswer,   // From a request to the caller's first word on its answer.
+};
+const char* Name(FlowStep step);
+
+struct FlowTiming {
+  FlowStep step = FlowStep::kOpening;
+  std::uint64_t target = 0;
+  Duration duration{0};
+};
+
 struct CookieBalancerSettings {
   std::string data_centre;
   PlacementSettings placement;
@@ -130,6 +143,7 @@
     // Whether not all control VMs were heard yet since the start.
     std::function<bool()> is_gathering;
     std::function<void(const TargetJudgement& judgement)> on_judgement;
+    std::function<void(const FlowTiming& timing)> on_timing;
   };
 
   // Keeps `directory`.
@@ -165,6 +179,7 @@
     std::uint32_t data_end = 0;  // Sequence number after the newest data.
     bool is_repeating = false;   // Its request, which nothing acknowledged.
     bool may_repeat = false;     // By the kind of its route.
+    TimePoint opened_at;         // When its first opening packet came.
     TimePoint request_at;        // When the newest data came.
     TimePoint seen_at;
     std::vector<std::uint64_t> tried;  // While it opens.
--- a/include/sardinelead/replica.h
+++ b/include/sardinelead/replica.h
@@ -61,6 +61,8 @@
   // takes the place of a member that was silent for `replace_after`, if any.
   bool open_membership = false;
   Duration replace_after = std::chrono::seconds(8);
+  // Beyond so many members a replica that would join follows without a vote.
+  std::size_t max_members = 15;
   // Members that must have joined before documents are accepted.
   std::size_t min_members = 1;
 };
--- a/include/sardinelead/target_feed.h
+++ b/include/sardinelead/target_feed.h
@@ -6,15 +6,18 @@
 //
 // Each balancer subscribes to every control VM: its polls, once a second, say
 // what it has. Each control VM pushes what it heard itself, at once, until the
-// balancer has it: changed targets as records under a revision, targets that
-// live as cookies with their age, and the version of its routes, which a
-// balancer that is behind then asks one control VM for. Control VMs follow each
-// other in the same way, but pass on another's target only in the first report
-// to a subscriber: one that has just started learns all from whoever answers
-// first, and each side of a partition goes by what it hears itself.
+// balancer has it: changed targets as records under a revision, and the version
+// of its routes, which a balancer that is behind then asks one control VM for.
+// Twice a second it says which of the targets that call it are silent, and for
+// how long; all others live. Control VMs follow each other in the same way, and
+// are known to balancers once a control VM that they know follows them. The
+// targets that a control VM only learned of go to subscribers that have just
+// started: these learn all from whoever answers first, and each side of a
+// partition goes by what it hears itself.
 //
-// Cost at t targets, c control VMs and b balancers: a report every half second
-// of some 40 bytes and 7 for each of t / c targets, to each of b subscribers.
+// Cost with c control VMs and b balancers: a report of some 90 bytes every half
+// second from each control VM to each balancer, whatever the number of targets,
+// and a record of some 70 bytes to each balancer for each change.
 //
 // Both ends are sans-I/O and for one thread.
 
@@ -22,6 +25,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +42,13 @@
   Duration poll_interval = std::chrono::seconds(1);
   Duration report_interval = std::chrono::milliseconds(500);
   Duration repeat_interval = std::chrono::milliseconds(150);
+  // Between two reports to one subscriber, so that changes that come together
+  // share one.
+  Duration report_gap = std::chrono::milliseconds(40);
+  // A target that called later than this ago is not listed as silent. Longer
+  // than between two of its heartbeats.
+  Duration unlisted_silence = std::chrono::milliseconds(1200);
+  bool is_control = false;  // The follower publishes, too.
   // A subscriber that did not poll, a control VM that did not report, for this
   // long is taken to be away.
   Duration subscription = std::chrono::seconds(5);
@@ -55,15 +66,30 @@
   std::shared_ptr<const Bytes> bytes;
 };
 
+// A balancer, or another control VM, that follows a control VM.
+struct SubscriberStatus {
+  NodeId node;
+  std::string data_centre;
+  bool is_control = false;
+  ConfigVersion version;  // Of the routes that it has.
+  Duration silent{0};     // Since its last poll.
+};
+
+// A control VM that is followed.
+struct SourceStatus {
+  NodeId node;
+  std::string data_centre;
+  ConfigVersion version;  // Of the routes that it offers.
+  bool is_heard = false;
+};
+
 // The control VM's end.
 class FeedPublisher {
  public:
   struct Hooks {
-    // The control VMs that balancers should listen to.
+    // The control VMs that agree on the configuration.
     std::function<std::vector<NodeId>()> members;
     std::function<EncodedRoutes()> routes;
-    // When this control VM heard the target itself, if it did.
-    std::function<std::optional<TimePoint>(std::uint64_t target)> heard_at;
   };
 
   // `epoch` tells starts of this process apart. Keeps `directory`.
@@ -71,35 +97,63 @@
                 const TargetDirectory* directory, Hooks hooks);
 
   Outbox OnMessage(NodeId from, ByteView body, TimePoint now);
+  // The target called this control VM; the directory has what it said.
+  void OnHeard(std::uint64_t target, TimePoint now);
   // Reports that are due. To be called after each change, at once, and every
   // 50 ms.
   Outbox OnTick(TimePoint now);
 
-  // Reports to a node that followed an earlier start of this process, so that
-  // it learns of this one without having its address.
+  // Makes itself known to a node that followed an earlier start of this
+  // process, so that it learns of this one without having its address.
   void Invite(NodeId node, TimePoint now);
   std::vector<NodeId> Subscribers() const;
 
   std::size_t subscriber_count() const {
     return m_subscribers.size();
   }  // NOLINT
+  // What each subscriber said last, by node.
+  std::vector<SubscriberStatus> Status(TimePoint now) const;
 
  private:
   struct Subscriber {
     std::string data_centre;
+    bool has_polled = false;  // This start of this process.
+    bool wants_all = false;
+    bool is_control = false;
     std::uint64_t acknowledged = 0;  // Revision that it has.
     ConfigVersion version;           // Of the routes that it has.
     TimePoint polled_at;
     TimePoint reported_at;
-    TimePoint living_at;  // When it was last told which targets live.
+    TimePoint silence_at;  // When it was last told which targets are silent.
+    TimePoint members_at;  // When it was last told the control VMs.
     std::uint64_t sent_revision = 0;
     ConfigVersion sent_version;
   };
 
+  // What is told of one target of the directory.
+  struct Record {
+    std::uint64_t revision = 0;  // Of the last change.
+    bool is_heard = false;       // It calls this control VM now.
+    bool was_heard = false;      // It did, once.
+    TimePoint heard_at;
+  };
+
+  Outbox ReportTo(NodeId id, Subscriber* subscriber, TimePoint now);
   bool IsDue(const Subscriber& subscriber, ConfigVersion version,
              TimePoint now) const;
-  Bytes MakeReport(const Subscriber& subscriber, bool with_living,
-                   ConfigVersion version, TimePoint now) const;
+  // The revision that the subscriber should have.
+  std::uint64_t GoalOf(const Subscriber& subscriber) const {
+    return subscriber.wants_all ? m_revision : m_heard_revision;
+  }
+  // Takes over what changed in the directory.
+  void Refresh();
+  void Touch(std::uint64_t target);
+  // Once a second: targets that call another control VM now, or are forgotten.
+  void DropSilent(TimePoint now);
+  void RefreshMembers(TimePoint now);
+  struct SilenceReport MakeSilence(TimePoint now) const;
+  void AddChanged(const Subscriber& subscriber, TimePoint now,
+                  struct FeedReport* report) const;
   std::size_t BalancersIn(const std::string& data_centre) const;
 
   FeedSettings m_settings;
@@ -107,6 +161,15 @@
   const TargetDirectory* m_directory;
   Hooks m_hooks;
   std::map<NodeId, Subscriber> m_subscribers;
+  std::map<std::uint64_t, Record> m_records;         // By target.
+  std::map<std::uint64_t, std::uint64_t> m_changes;  // Target by revision.
+  // 0 is a subscriber's that was told nothing.
+  std::uint64_t m_revision = 1;
+  std::uint64_t m_heard_revision = 1;      // Of targets that were ever heard.
+  std::uint64_t m_directory_revision = 0;  // That was taken over.
+  std::vector<NodeId> m_members;
+  TimePoint m_members_changed_at;
+  TimePoint m_dropped_at;
 };
 
 // The balancer's end: keeps its directory and its routes up to date.
@@ -138,6 +201,9 @@
   TimePoint CoveredTime() const { return m_covered; }
   std::size_t SourceCount() const { return m_sources.size(); }
   std::size_t HeardCount(TimePoint now) const;
+  bool Hears(NodeId source, TimePoint now) const;
+  // By node.
+  std::vector<SourceStatus> Status(TimePoint now) const;
   // Balancers of this data centre, this one included; 1 where not told.
   std::size_t balancers() const { return m_balancers; }  // NOLINT
   ConfigVersion version() const { return m_version; }    // NOLINT
@@ -148,8 +214,10 @@
     std::uint64_t revision = 0;
     ConfigVersion version;
     std::string data_centre;
-    bool was_heard = false;  // Ever.
-    bool is_heard = false;   // As last told to the hook.
+    bool was_heard = false;           // Ever.
+    bool is_heard = false;            // As last told to the hook.
+    bool has_told_all = false;        // What it heard and what it learned.
+    std::set<std::uint64_t> targets;  // That call it.
     TimePoint heard_at;
     TimePoint poll_at;
   };
@@ -159,9 +227,12 @@
   }
   void OnReport(NodeId from, const struct FeedReport& report, TimePoint now,
                 Outbox* out);
+  void TakeTargets(const struct FeedReport& report, Source* source,
+                   TimePoint now);
   void OnRoutes(NodeId from, ByteView bytes);
   void AddSource(NodeId id);
-  OutgoingMessage MakePoll(NodeId to, bool wants_routes) const;
+  OutgoingMessage MakePoll(NodeId to, bool wants_routes, TimePoint now) const;
+  bool WantsAll(NodeId from, const Source& source, TimePoint now) const;
   bool IsHeard(const Source& source, TimePoint now) const;
   NodeId BestSourceOfRoutes(TimePoint now) const;
   void TellSources(TimePoint now);
--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -18,12 +18,7 @@
                      }
                      return members;
                    },
-                   [this] { return m_routes; },
-                   [this](std::uint64_t target) -> std::optional<TimePoint> {
-                     const auto found = m_heard_at.find(target);
-                     if (found == m_heard_at.end()) return std::nullopt;
-                     return found->second;
-                   }}),
+                   [this] { return m_routes; }}),
       m_follower(m_settings.feed, m_settings.replica.contacts, &m_directory,
                  FollowerHooks()) {
   m_routes.bytes = std::make_shared<const Bytes>();
@@ -165,6 +160,19 @@
          status.staleness <= m_settings.quorum_silence;
 }
 
+std::optional<NodeId> ControlPlane::VoterToAsk(TimePoint now) const {
+  const ReplicaStatus status = m_replica->Status(now);
+  if (status.role != ReplicaRole::kJoining) return std::nullopt;
+  std::vector<NodeId> voters;
+  for (const auto& [member, has_joined] : status.members) {
+    const bool may_answer = has_joined && member != m_settings.replica.self &&
+                            m_follower.Hears(member, now);
+    if (may_answer) voters.push_back(member);
+  }
+  if (voters.empty()) return std::nullopt;
+  return voters[m_hooks.random() % voters.size()];
+}
+
 void ControlPlane::Submit(const Document& document, OnOutcome on_outcome,
                           TimePoint now) {
   const bool is_overtaken = !(m_replica->document().version < document.version);
@@ -191,7 +199,7 @@
 
 NewsEffect ControlPlane::Take(const TargetNews& news, TimePoint now) {
   const NewsEffect effect = m_directory.Take(news, now);
-  if (effect != NewsEffect::kStale) m_heard_at[news.number] = now;
+  if (effect != NewsEffect::kStale) m_publisher.OnHeard(news.number, now);
   if (effect == NewsEffect::kChanged) m_hooks.send(m_publisher.OnTick(now));
   return effect;
 }
--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -64,6 +64,9 @@
   void OnTick(TimePoint now);
   void SetContacts(const std::vector<NodeId>& contacts);
 
+  // Whom operators should ask while this replica does not vote; empty where it
+  // does, or hears nobody who does.
+  std::optional<NodeId> VoterToAsk(TimePoint now) const;
   // Each calls back once, within `answer_deadline`.
   void Submit(const Document& document, OnOutcome on_outcome, TimePoint now);
   // `kAccepted` where document() may be read as the newest.
@@ -73,9 +76,7 @@
   NewsEffect Take(const TargetNews& news, TimePoint now);
   const TargetDirectory& directory() const { return m_directory; }  // NOLINT
   ReplicaStatus Status(TimePoint now) const { return m_replica->Status(now); }
-  std::size_t subscriber_count() const {  // NOLINT
-    return m_publisher.subscriber_count();
-  }
+  const FeedPublisher& publisher() const { return m_publisher; }  // NOLINT
 
  private:
   Result<void> StartReplica(TimePoint now);
@@ -92,8 +93,6 @@
   std::unique_ptr<Journal> m_journal;
   std::unique_ptr<Replica> m_replica;
   EncodedRoutes m_routes;
-  // When targets called this VM itself.
-  std::unordered_map<std::uint64_t, TimePoint> m_heard_at;
   FeedPublisher m_publisher;
   FeedFollower m_follower;
   std::uint64_t m_kept_revision = 0;
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -62,6 +62,16 @@
   return "unknown";
 }
 
+const char* Name(FlowStep step) {
+  switch (step) {
+    case FlowStep::kOpening:
+      return "opening";
+    case FlowStep::kAnswer:
+      return "answer";
+  }
+  return "unknown";
+}
+
 CookieBalancer::CookieBalancer(CookieBalancerSettings settings,
                                const TargetDirectory* directory, Hooks hooks)
     : m_settings(std::move(settings)),
@@ -127,6 +137,7 @@
   if (found == m_flows.end()) {
     if (m_flows.size() >= m_settings.max_flows) Sweep(now);
     found = m_flows.try_emplace(packet.flow).first;
+    found->second.opened_at = now;
   }
   Flow& flow = found->second;
   flow.seen_at = now;
@@ -235,6 +246,9 @@
       m_placement.OnOpeningEnded(flow.target);
     }
     m_placement.OnOpened(target, flow.target == target, now);
+    if (!is_new) {
+      m_hooks.on_timing({FlowStep::kOpening, target, now - flow.opened_at});
+    }
     flow.target = target;
     flow.is_open = true;
     flow.may_repeat = m_routes->Find(packet.flow.service)->kind !=
@@ -253,7 +267,11 @@
       packet.acknowledges && IsAfter(packet.acknowledged, flow->acknowledged);
   if (is_answered) {
     flow->acknowledged = packet.acknowledged;
-    if (flow->is_waiting) m_placement.OnAnswer(flow->target, true, now);
+    if (flow->is_waiting) {
+      m_placement.OnAnswer(flow->target, true, now);
+      m_hooks.on_timing(
+          {FlowStep::kAnswer, flow->target, now - flow->request_at});
+    }
     flow->is_waiting = false;
     flow->is_repeating = false;
   }
--- a/src/feed_follower.cc
+++ b/src/feed_follower.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <unordered_map>
 #include <utility>
 
 #include "feed_message.h"
@@ -10,6 +11,8 @@
 constexpr Duration kRoutesRepeat = std::chrono::milliseconds(150);
 // A gap between ticks beyond this is time in which nothing could be heard.
 constexpr Duration kLongestTick = std::chrono::milliseconds(250);
+// So long after its first report a follower has heard every living target.
+constexpr Duration kYoung = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -28,13 +31,29 @@
 
 void FeedFollower::AddSource(NodeId id) { m_sources.try_emplace(id); }
 
-OutgoingMessage FeedFollower::MakePoll(NodeId to, bool wants_routes) const {
+OutgoingMessage FeedFollower::MakePoll(NodeId to, bool wants_routes,
+                                       TimePoint now) const {
   const Source& source = m_sources.at(to);
-  const FeedPoll poll{source.epoch, source.revision, m_version, wants_routes,
-                      m_settings.data_centre};
+  FeedPoll poll;
+  poll.epoch = source.epoch;
+  poll.revision = source.revision;
+  poll.version = m_version;
+  poll.wants_routes = wants_routes;
+  poll.wants_all = WantsAll(to, source, now);
+  poll.is_control = m_settings.is_control;
+  poll.data_centre = m_settings.data_centre;
   return {to, MessageKind::kFeed, poll.Encode()};
 }
 
+// Few are asked for all, so that a start costs the same with many control VMs.
+bool FeedFollower::WantsAll(NodeId from, const Source& source,
+                            TimePoint now) const {
+  const bool is_young = !m_first_report_at || now - *m_first_report_at < kYoung;
+  const bool is_contact =
+      std::find(m_contacts.begin(), m_contacts.end(), from) != m_contacts.end();
+  return is_young && is_contact && !source.has_told_all;
+}
+
 Outbox FeedFollower::OnMessage(NodeId from, ByteView body, TimePoint now) {
   Outbox out;
   const auto message = DecodeFeedMessage(body);
@@ -59,6 +78,8 @@
   if (is_new_start) {
     source.epoch = report.epoch;
     source.revision = 0;
+    source.has_told_all = false;
+    source.targets.clear();
   }
   source.was_heard = true;
   source.heard_at = now;
@@ -68,33 +89,61 @@
   m_balancers = std::max<std::size_t>(report.balancers, 1);
   for (const NodeId member : report.members) AddSource(member);
   if (!report.members.empty()) m_members = report.members;
-  const TimePoint directory_time = DirectoryTime(now);
-  for (const ReportedTarget& target : report.changed) {
-    m_directory->Take(target.news, directory_time - target.silent);
-  }
-  for (const LivingTarget& target : report.living) {
-    m_directory->Renew(target.cookie, directory_time - target.silent);
-  }
+  TakeTargets(report, &source, now);
   // A report that builds on changes that never came leaves a gap: the poll
   // tells what is missing.
   const bool is_next = report.base <= source.revision;
-  if (is_next) source.revision = std::max(source.revision, report.revision);
+  if (is_next) {
+    const bool is_whole = report.revision != 0 && !report.has_more;
+    source.has_told_all = source.has_told_all || is_whole;
+    source.revision = std::max(source.revision, report.revision);
+  }
   const bool must_answer = !report.changed.empty() || !is_next || is_new_start;
   const bool wants_routes =
       m_version < report.version && now - m_routes_asked_at >= kRoutesRepeat;
   if (wants_routes) m_routes_asked_at = now;
   if (must_answer || wants_routes) {
     source.poll_at = now + m_settings.poll_interval;
-    out->push_back(MakePoll(from, wants_routes));
+    out->push_back(MakePoll(from, wants_routes, now));
   }
   TellSources(now);
 }
 
+void FeedFollower::TakeTargets(const FeedReport& report, Source* source,
+                               TimePoint now) {
+  const TimePoint directory_time = DirectoryTime(now);
+  for (const ReportedTarget& target : report.changed) {
+    m_directory->Take(target.news, directory_time - target.silent);
+    const bool is_living =
+        target.is_heard && target.news.state != AnnouncedState::kEnded;
+    if (is_living) {
+      source->targets.insert(target.news.number);
+    } else {
+      source->targets.erase(target.news.number);
+    }
+  }
+  if (!report.silence) return;
+  std::unordered_map<std::uint32_t, Duration> silent;
+  for (const SilentTarget& target : report.silence->listed) {
+    silent.emplace(target.cookie, target.silent);
+  }
+  for (const std::uint64_t number : source->targets) {
+    const TargetDirectory::Entry* entry = m_directory->Find(number);
+    const bool is_over =
+        entry == nullptr || entry->news.state == AnnouncedState::kEnded;
+    if (is_over) continue;
+    const auto found = silent.find(CookieOf(number));
+    const Duration silence =
+        found == silent.end() ? report.silence->unlisted : found->second;
+    m_directory->Renew(CookieOf(number), directory_time - silence);
+  }
+}
+
 Outbox FeedFollower::OnMet(NodeId from, TimePoint now) {
   const auto found = m_sources.find(from);
   if (found == m_sources.end()) return {};
   found->second.poll_at = now + m_settings.poll_interval;
-  return {MakePoll(from, m_version.value == 0)};
+  return {MakePoll(from, m_version.value == 0, now)};
 }
 
 void FeedFollower::OnRoutes(NodeId from, ByteView bytes) {
@@ -129,7 +178,7 @@
     const Duration interval = source.was_heard ? m_settings.poll_interval
                                                : m_settings.repeat_interval;
     source.poll_at = now + interval;
-    out.push_back(MakePoll(id, wants_routes || m_version.value == 0));
+    out.push_back(MakePoll(id, wants_routes || m_version.value == 0, now));
   }
   return out;
 }
@@ -172,6 +221,20 @@
       [&](const auto& item) { return IsHeard(item.second, now); }));
 }
 
+bool FeedFollower::Hears(NodeId source, TimePoint now) const {
+  const auto found = m_sources.find(source);
+  return found != m_sources.end() && IsHeard(found->second, now);
+}
+
+std::vector<SourceStatus> FeedFollower::Status(TimePoint now) const {
+  std::vector<SourceStatus> all;
+  for (const auto& [id, source] : m_sources) {
+    all.push_back(
+        {id, source.data_centre, source.version, IsHeard(source, now)});
+  }
+  return all;
+}
+
 bool FeedFollower::IsReady(TimePoint now) const {
   if (m_version.value == 0 || !m_first_report_at) return false;
   const bool has_gathered = now - *m_first_report_at >= m_settings.gathering;
--- a/src/feed_message.cc
+++ b/src/feed_message.cc
@@ -15,6 +15,8 @@
   return ms < 0 ? 0 : static_cast<std::uint64_t>(ms);
 }
 
+std::uint64_t ToNumber(bool flag) { return flag ? 1 : 0; }
+
 std::uint64_t TypeNumber(FeedType type) {
   return static_cast<std::uint64_t>(type);
 }
@@ -25,7 +27,33 @@
                       static_cast<std::uint64_t>(news.state), news.pool,
                       news.address.ToString(), news.data_centre,
                       std::uint64_t{news.slots}, ToMs(news.warm_up_left),
-                      ToMs(target.silent)});
+                      ToMs(target.silent), ToNumber(target.is_heard)});
+}
+
+// Empty where the reporter tells nothing of silence.
+json ToJson(const std::optional<SilenceReport>& silence) {
+  json out = json::array();
+  if (!silence) return out;
+  out.push_back(ToMs(silence->unlisted));
+  for (const SilentTarget& target : silence->listed) {
+    out.push_back(std::uint64_t{target.cookie});
+    out.push_back(ToMs(target.silent));
+  }
+  return out;
+}
+
+bool ReadSilence(const json& items, std::optional<SilenceReport>* silence) {
+  if (items.empty()) return true;
+  CborArrayReader fields(items);
+  SilenceReport& report = silence->emplace();
+  report.unlisted = milliseconds(fields.Number());
+  while (!fields.AtEnd()) {
+    SilentTarget target;
+    target.cookie = static_cast<std::uint32_t>(fields.Number());
+    target.silent = milliseconds(fields.Number());
+    report.listed.push_back(target);
+  }
+  return fields.ok();
 }
 
 bool ReadTarget(const json& item, ReportedTarget* target) {
@@ -43,6 +71,7 @@
   news.slots = static_cast<std::uint32_t>(fields.Number());
   news.warm_up_left = milliseconds(fields.Number());
   target->silent = milliseconds(fields.Number());
+  target->is_heard = fields.Number() != 0;
   const bool is_state =
       state <= static_cast<std::uint64_t>(AnnouncedState::kEnded);
   news.state =
@@ -61,6 +90,8 @@
   poll.revision = reader->Number();
   poll.version = ConfigVersion{reader->Number()};
   poll.wants_routes = reader->Number() != 0;
+  poll.wants_all = reader->Number() != 0;
+  poll.is_control = reader->Number() != 0;
   poll.data_centre = reader->Text();
   if (!reader->ok()) return Unreadable("a poll");
   return poll;
@@ -71,6 +102,7 @@
   report.epoch = reader->Number();
   report.revision = reader->Number();
   report.base = reader->Number();
+  report.has_more = reader->Number() != 0;
   report.version = ConfigVersion{reader->Number()};
   report.data_centre = reader->Text();
   report.balancers = reader->Number();
@@ -83,13 +115,8 @@
     if (!ReadTarget(item, &target)) return Unreadable("a target");
     report.changed.push_back(std::move(target));
   }
-  for (const json& item : reader->Array()) {
-    CborArrayReader fields(item);
-    LivingTarget living;
-    living.cookie = static_cast<std::uint32_t>(fields.Number());
-    living.silent = milliseconds(fields.Number());
-    if (!fields.ok()) return Unreadable("a living target");
-    report.living.push_back(living);
+  if (!ReadSilence(reader->Array(), &report.silence)) {
+    return Unreadable("the silence of targets");
   }
   if (!reader->ok()) return Unreadable("a report");
   return report;
@@ -100,7 +127,8 @@
 Bytes FeedPoll::Encode() const {
   return ToCbor(
       json::array({TypeNumber(FeedType::kPoll), epoch, revision, version.value,
-                   std::uint64_t{wants_routes ? 1U : 0U}, data_centre}));
+                   ToNumber(wants_routes), ToNumber(wants_all),
+                   ToNumber(is_control), data_centre}));
 }
 
 Bytes FeedReport::Encode() const {
@@ -110,15 +138,10 @@
   for (const ReportedTarget& target : changed) {
     changed_list.push_back(ToJson(target));
   }
-  json living_list = json::array();
-  for (const LivingTarget& target : living) {
-    living_list.push_back(
-        json::array({std::uint64_t{target.cookie}, ToMs(target.silent)}));
-  }
   return ToCbor(json::array({TypeNumber(FeedType::kReport), epoch, revision,
-                             base, version.value, data_centre, balancers,
-                             std::move(member_list), std::move(changed_list),
-                             std::move(living_list)}));
+                             base, ToNumber(has_more), version.value,
+                             data_centre, balancers, std::move(member_list),
+                             std::move(changed_list), ToJson(silence)}));
 }
 
 Bytes FeedRoutes::Encode() const {
--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "feed_message.h"
@@ -6,8 +7,13 @@
 namespace sardinelead {
 namespace {
 
-// A target silent for longer is not reported as living.
-constexpr Duration kLivingAge = std::chrono::seconds(10);
+// A target silent for longer calls another control VM, or none.
+constexpr Duration kHeardMemory = std::chrono::seconds(10);
+constexpr Duration kDropInterval = std::chrono::seconds(1);
+constexpr Duration kMembersInterval = std::chrono::seconds(3);
+// Of some 70 bytes each, so that a report passes a slow link in a few
+// milliseconds and a lost datagram costs little.
+constexpr std::size_t kMaxRecords = 256;
 
 }  // namespace
 
@@ -22,13 +28,18 @@
   const auto message = DecodeFeedMessage(body);
   const FeedPoll* poll = message ? std::get_if<FeedPoll>(&*message) : nullptr;
   if (poll == nullptr) return {};
-  const auto [found, is_new] = m_subscribers.try_emplace(from);
-  Subscriber& subscriber = found->second;
+  Refresh();
+  Subscriber& subscriber = m_subscribers[from];
+  const bool is_known = subscriber.has_polled && poll->epoch == m_epoch;
+  const bool has_advanced =
+      is_known && poll->revision > subscriber.acknowledged;
+  subscriber.has_polled = true;
   subscriber.data_centre = poll->data_centre;
+  subscriber.wants_all = poll->wants_all;
+  subscriber.is_control = poll->is_control;
   subscriber.version = poll->version;
   subscriber.polled_at = now;
   subscriber.acknowledged = poll->epoch == m_epoch ? poll->revision : 0;
-  if (poll->epoch != m_epoch) subscriber.sent_revision = 0;
   Outbox out;
   if (poll->wants_routes) {
     const EncodedRoutes routes = m_hooks.routes();
@@ -38,16 +49,82 @@
       out.push_back({from, MessageKind::kFeed, reply.Encode()});
     }
   }
-  if (!is_new && poll->epoch == m_epoch) return out;
-  const ConfigVersion version = m_hooks.routes().version;
-  subscriber.reported_at = now;
-  subscriber.sent_revision = m_directory->revision();
-  subscriber.sent_version = version;
-  out.push_back(
-      {from, MessageKind::kFeed, MakeReport(subscriber, true, version, now)});
+  const bool has_next =
+      has_advanced && subscriber.acknowledged < GoalOf(subscriber);
+  if (is_known && !has_next) return out;
+  if (!is_known) {
+    subscriber.silence_at = TimePoint{};
+    subscriber.members_at = TimePoint{};
+  }
+  const Outbox reports = ReportTo(from, &subscriber, now);
+  out.insert(out.end(), reports.begin(), reports.end());
   return out;
 }
 
+void FeedPublisher::OnHeard(std::uint64_t target, TimePoint now) {
+  Refresh();
+  const TargetDirectory::Entry* entry = m_directory->Find(target);
+  if (entry == nullptr) return;
+  const bool is_over = entry->news.state == AnnouncedState::kEnded;
+  Record& record = m_records[target];
+  const bool is_new = !record.was_heard || (!record.is_heard && !is_over);
+  record.heard_at = now;
+  record.was_heard = true;
+  record.is_heard = !is_over;
+  if (is_new) Touch(target);
+}
+
+void FeedPublisher::Refresh() {
+  const std::uint64_t revision = m_directory->revision();
+  if (m_directory_revision == revision) return;
+  for (const auto& [number, entry] : m_directory->entries()) {
+    if (entry.revision > m_directory_revision) Touch(number);
+  }
+  m_directory_revision = revision;
+}
+
+void FeedPublisher::Touch(std::uint64_t target) {
+  Record& record = m_records[target];
+  m_changes.erase(record.revision);
+  record.revision = ++m_revision;
+  m_changes.emplace(record.revision, target);
+  if (record.was_heard) m_heard_revision = record.revision;
+}
+
+void FeedPublisher::DropSilent(TimePoint now) {
+  if (now - m_dropped_at < kDropInterval) return;
+  m_dropped_at = now;
+  for (auto it = m_records.begin(); it != m_records.end();) {
+    const auto [number, record] = *it;
+    const bool is_known = m_directory->Find(number) != nullptr;
+    if (!is_known) {
+      m_changes.erase(record.revision);
+      it = m_records.erase(it);
+      continue;
+    }
+    const bool is_gone =
+        record.is_heard && now - record.heard_at > kHeardMemory;
+    if (is_gone) {
+      it->second.is_heard = false;
+      Touch(number);
+    }
+    ++it;
+  }
+}
+
+void FeedPublisher::RefreshMembers(TimePoint now) {
+  std::vector<NodeId> members = m_hooks.members();
+  members.push_back(m_settings.self);
+  for (const auto& [id, subscriber] : m_subscribers) {
+    if (subscriber.is_control) members.push_back(id);
+  }
+  std::sort(members.begin(), members.end());
+  members.erase(std::unique(members.begin(), members.end()), members.end());
+  if (members == m_members) return;
+  m_members = std::move(members);
+  m_members_changed_at = now;
+}
+
 void FeedPublisher::Invite(NodeId node, TimePoint now) {
   m_subscribers[node].polled_at = now;
 }
@@ -58,19 +135,34 @@
   return nodes;
 }
 
+std::vector<SubscriberStatus> FeedPublisher::Status(TimePoint now) const {
+  std::vector<SubscriberStatus> all;
+  for (const auto& [id, subscriber] : m_subscribers) {
+    all.push_back({id, subscriber.data_centre, subscriber.is_control,
+                   subscriber.version, now - subscriber.polled_at});
+  }
+  return all;
+}
+
 bool FeedPublisher::IsDue(const Subscriber& subscriber, ConfigVersion version,
                           TimePoint now) const {
-  const std::uint64_t revision = m_directory->revision();
+  const Duration since = now - subscriber.reported_at;
+  if (since < m_settings.report_gap) return false;
+  const std::uint64_t goal = GoalOf(subscriber);
   const bool is_news =
-      subscriber.sent_revision < revision || subscriber.sent_version < version;
+      subscriber.has_polled &&
+      (subscriber.sent_revision < goal || subscriber.sent_version < version);
   const bool is_lost =
-      (subscriber.acknowledged < revision || subscriber.version < version) &&
-      now - subscriber.reported_at >= m_settings.repeat_interval;
+      (subscriber.acknowledged < goal || subscriber.version < version) &&
+      since >= m_settings.repeat_interval;
   return is_news || is_lost ||
-         now - subscriber.living_at >= m_settings.report_interval;
+         now - subscriber.silence_at >= m_settings.report_interval;
 }
 
 Outbox FeedPublisher::OnTick(TimePoint now) {
+  Refresh();
+  DropSilent(now);
+  RefreshMembers(now);
   Outbox out;
   const ConfigVersion version = m_hooks.routes().version;
   for (auto it = m_subscribers.begin(); it != m_subscribers.end();) {
@@ -82,53 +174,89 @@
     const NodeId id = it->first;
     ++it;
     if (!IsDue(subscriber, version, now)) continue;
-    const bool with_living =
-        now - subscriber.living_at >= m_settings.report_interval;
-    subscriber.reported_at = now;
-    if (with_living) subscriber.living_at = now;
-    subscriber.sent_revision = m_directory->revision();
-    subscriber.sent_version = version;
-    out.push_back({id, MessageKind::kFeed,
-                   MakeReport(subscriber, with_living, version, now)});
+    Outbox reports = ReportTo(id, &subscriber, now);
+    std::move(reports.begin(), reports.end(), std::back_inserter(out));
   }
   return out;
 }
 
 std::size_t FeedPublisher::BalancersIn(const std::string& data_centre) const {
-  std::size_t count = 0;
-  for (const auto& [id, subscriber] : m_subscribers) {
-    count += subscriber.data_centre == data_centre ? 1 : 0;
-  }
-  return count;
+  const auto count = std::count_if(
+      m_subscribers.begin(), m_subscribers.end(), [&](const auto& item) {
+        const Subscriber& subscriber = item.second;
+        return !subscriber.is_control && subscriber.data_centre == data_centre;
+      });
+  return static_cast<std::size_t>(count);
 }
 
-Bytes FeedPublisher::MakeReport(const Subscriber& subscriber, bool with_living,
-                                ConfigVersion version, TimePoint now) const {
+Outbox FeedPublisher::ReportTo(NodeId id, Subscriber* subscriber,
+                               TimePoint now) {
   FeedReport report;
   report.epoch = m_epoch;
-  report.revision = m_directory->revision();
-  report.base = subscriber.acknowledged;
-  report.version = version;
+  report.base = subscriber->acknowledged;
+  report.version = m_hooks.routes().version;
   report.data_centre = m_settings.data_centre;
-  report.balancers = BalancersIn(subscriber.data_centre);
-  report.members = m_hooks.members();
-  const bool is_first = subscriber.acknowledged == 0;
-  for (const auto& [number, entry] : m_directory->entries()) {
-    const auto heard_at = m_hooks.heard_at(number);
-    if (!heard_at && !is_first) continue;
-    const Duration silent = now - heard_at.value_or(entry.heard_at);
-    if (entry.revision > subscriber.acknowledged) {
-      ReportedTarget target{entry.news, silent};
-      const bool is_warm = entry.warm_at <= now;
-      target.news.warm_up_left = is_warm ? Duration{0} : entry.warm_at - now;
-      report.changed.push_back(std::move(target));
-      continue;
+  // A node that was only invited answers with a poll that says what it needs.
+  if (subscriber->has_polled) {
+    report.balancers = BalancersIn(subscriber->data_centre);
+    AddChanged(*subscriber, now, &report);
+  }
+  const bool tells_silence =
+      now - subscriber->silence_at >= m_settings.report_interval;
+  if (tells_silence) {
+    report.silence = MakeSilence(now);
+    subscriber->silence_at = now;
+  }
+  const bool tells_members = subscriber->members_at <= m_members_changed_at ||
+                             now - subscriber->members_at >= kMembersInterval;
+  if (tells_members) {
+    report.members = m_members;
+    subscriber->members_at = now;
+  }
+  subscriber->reported_at = now;
+  subscriber->sent_revision = report.revision;
+  subscriber->sent_version = report.version;
+  return {{id, MessageKind::kFeed, report.Encode()}};
+}
+
+SilenceReport FeedPublisher::MakeSilence(TimePoint now) const {
+  SilenceReport silence;
+  for (const auto& [number, record] : m_records) {
+    if (!record.is_heard) continue;
+    const Duration silent = now - record.heard_at;
+    if (silent > m_settings.unlisted_silence) {
+      silence.listed.push_back({CookieOf(number), silent});
+    } else {
+      silence.unlisted = std::max(silence.unlisted, silent);
+    }
+  }
+  return silence;
+}
+
+// Changes that the subscriber does not have, oldest first.
+void FeedPublisher::AddChanged(const Subscriber& subscriber, TimePoint now,
+                               FeedReport* report) const {
+  report->revision = m_revision;
+  for (auto it = m_changes.upper_bound(subscriber.acknowledged);
+       it != m_changes.end(); ++it) {
+    const auto [revision, number] = *it;
+    const Record& record = m_records.at(number);
+    const TargetDirectory::Entry* entry = m_directory->Find(number);
+    const bool is_told =
+        entry != nullptr && (record.was_heard || subscriber.wants_all);
+    if (!is_told) continue;
+    if (report->changed.size() >= kMaxRecords) {
+      report->revision = revision - 1;
+      report->has_more = true;
+      return;
     }
-    const bool is_living = with_living && silent < kLivingAge &&
-                           entry.news.state != AnnouncedState::kEnded;
-    if (is_living) report.living.push_back({CookieOf(number), silent});
+    const TimePoint heard_at =
+        record.is_heard ? record.heard_at : entry->heard_at;
+    ReportedTarget target{entry->news, now - heard_at, record.is_heard};
+    const bool is_warm = entry->warm_at <= now;
+    target.news.warm_up_left = is_warm ? Duration{0} : entry->warm_at - now;
+    report->changed.push_back(std::move(target));
   }
-  return report.Encode();
 }
 
 }  // namespace sardinelead
--- a/src/replica_learner.cc
+++ b/src/replica_learner.cc
@@ -192,10 +192,13 @@
                                TimePoint now) {
   if (!CanVote()) return;
   const bool is_member = m_state.members().count(from) != 0;
-  Command command =
-      is_member || !m_settings.open_membership
-          ? MakeJoinCommand(from, message.store)
-          : MakeAdmitCommand(from, message.store, LongSilentMember(now));
+  const NodeId silent = is_member ? NodeId{} : LongSilentMember(now);
+  // It follows without a vote until there is a place for it.
+  const bool is_full = m_state.members().size() >= m_settings.max_members;
+  if (!is_member && is_full && silent.value == 0) return;
+  Command command = is_member || !m_settings.open_membership
+                        ? MakeJoinCommand(from, message.store)
+                        : MakeAdmitCommand(from, message.store, silent);
   const std::string key = OutcomeKey(command);
   for (const Pending& pending : m_pending) {
     if (OutcomeKey(pending.command) == key) return;
--- /dev/null
+++ b/src/status_page.cc
@@ -0,0 +1,84 @@
+#include "status_page.h"
+
+namespace sardinelead {
+namespace {
+
+using nlohmann::json;
+
+std::int64_t ToMs(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+std::string AddressOf(NodeId node) {
+  return IpAddress::FromV4(node.value).ToString();
+}
+
+// `time` is the directory's.
+json TargetToJson(const TargetDirectory::Entry& entry, TimePoint time) {
+  return {{"address", entry.news.address.ToString()},
+          {"pool", entry.news.pool},
+          {"data_centre", entry.news.data_centre},
+          {"state", Name(entry.news.state)},
+          {"slots", entry.news.slots},
+          {"silent_ms", ToMs(time - entry.heard_at)}};
+}
+
+}  // namespace
+
+json BalancerStatus(const TargetDirectory& directory, const FeedFollower& feed,
+                    const CookieBalancer& balancer, TimePoint now) {
+  json controls = json::array();
+  for (const SourceStatus& source : feed.Status(now)) {
+    controls.push_back({{"address", AddressOf(source.node)},
+                        {"data_centre", source.data_centre},
+                        {"version", source.version.value},
+                        {"heard", source.is_heard}});
+  }
+  json targets = json::array();
+  for (const auto& [number, entry] : directory.entries()) {
+    json target = TargetToJson(entry, feed.CoveredTime());
+    const TargetView* view = balancer.placement().Find(number);
+    target["open_flows"] = view == nullptr ? 0 : view->open;
+    target["waiting_requests"] = view == nullptr ? 0 : view->waiting;
+    target["lost"] = view != nullptr && view->is_lost;
+    targets.push_back(std::move(target));
+  }
+  return {{"ready", feed.IsReady(now)},
+          {"version", feed.version().value},
+          {"flows", balancer.flow_count()},
+          {"balancers_in_data_centre", feed.balancers()},
+          {"controls", std::move(controls)},
+          {"targets", std::move(targets)}};
+}
+
+json ControlStatus(const ControlPlane& plane, TimePoint now) {
+  const ReplicaStatus status = plane.Status(now);
+  json members = json::array();
+  for (const auto& [member, has_joined] : status.members) {
+    members.push_back({{"address", AddressOf(member)}, {"joined", has_joined}});
+  }
+  json balancers = json::array();
+  json controls = json::array();
+  for (const SubscriberStatus& follower : plane.publisher().Status(now)) {
+    json& list = follower.is_control ? controls : balancers;
+    list.push_back({{"address", AddressOf(follower.node)},
+                    {"data_centre", follower.data_centre},
+                    {"version", follower.version.value},
+                    {"silent_ms", ToMs(follower.silent)}});
+  }
+  json targets = json::array();
+  for (const auto& [number, entry] : plane.directory().entries()) {
+    targets.push_back(TargetToJson(entry, now));
+  }
+  return {{"role", Name(status.role)},
+          {"version", plane.document().version.value},
+          {"log_index", status.log_index},
+          {"quorum_silent_ms", ToMs(status.staleness)},
+          {"members", std::move(members)},
+          {"balancers", std::move(balancers)},
+          {"controls", std::move(controls)},
+          {"targets", std::move(targets)}};
+}
+
+}  // namespace sardinelead
--- /dev/null
+++ b/src/status_page.h
@@ -0,0 +1,23 @@
+#ifndef SARDINELEAD_SRC_STATUS_PAGE_H_
+#define SARDINELEAD_SRC_STATUS_PAGE_H_
+
+// What one process believes, as JSON for operators. A control VM's page shows
+// the whole system: each balancer that follows it with the version in force
+// there, and each target with its last word. Durations are in milliseconds.
+
+#include <nlohmann/json.hpp>
+
+#include "control_plane.h"
+#include "sardinelead/cookie_balancer.h"
+#include "sardinelead/target_feed.h"
+
+namespace sardinelead {
+
+nlohmann::json BalancerStatus(const TargetDirectory& directory,
+                              const FeedFollower& feed,
+                              const CookieBalancer& balancer, TimePoint now);
+nlohmann::json ControlStatus(const ControlPlane& plane, TimePoint now);
+
+}  // namespace sardinelead
+
+#endif  // SARDINELEAD_SRC_STATUS_PAGE_H_
--- a/src/target_store.cc
+++ b/src/target_store.cc
@@ -54,7 +54,7 @@
   report.members = subscribers;
   for (const auto& [number, entry] : directory.entries()) {
     if (entry.news.state == AnnouncedState::kEnded) continue;
-    report.changed.push_back({entry.news, Duration{0}});
+    report.changed.push_back({entry.news, Duration{0}, false});
   }
   const Bytes body = report.Encode();
   Bytes file(kChecksumBytes);
--- a/tests/control_plane_test.cc
+++ b/tests/control_plane_test.cc
@@ -4,8 +4,10 @@
 
 #include <random>
 
+#include "feed_message.h"
 #include "log_budget.h"
 #include "replica_cluster.h"
+#include "status_page.h"
 #include "target_store.h"
 
 namespace sardinelead {
@@ -21,6 +23,8 @@
   CPPUNIT_TEST(TargetsOutliveARestart);
   CPPUNIT_TEST(ADamagedTargetFileIsReported);
   CPPUNIT_TEST(WithoutAQuorumCallersAreTurnedAwayAtOnce);
+  CPPUNIT_TEST(AFollowerNamesAVoterThatItHears);
+  CPPUNIT_TEST(TheStatusShowsVersionsAndTargets);
   CPPUNIT_TEST(FloodOfOneEventLeavesTheOthers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -106,6 +110,52 @@
     CPPUNIT_ASSERT(outcome->kind == OutcomeKind::kUnknown);
   }
 
+  void AFollowerNamesAVoterThatItHears() {
+    CPPUNIT_ASSERT(!m_plane->VoterToAsk(m_now));  // It votes itself.
+    TestCluster other(3, 2);
+    other.settings.contacts = {NodeId{2}};
+    other.settings.open_membership = true;
+    other.settings.max_members = 1;
+    other.Start(NodeId{2}, true);
+    m_disk.Erase();
+    Start(false, NodeId{2});
+    for (int step = 0; step < 300; ++step) {
+      Run(milliseconds(10));
+      Exchange(&other);
+    }
+    CPPUNIT_ASSERT(m_plane->Status(m_now).role == ReplicaRole::kJoining);
+    CPPUNIT_ASSERT(!m_plane->VoterToAsk(m_now));  // It hears none yet.
+    m_plane->OnMessage(NodeId{2}, MessageKind::kFeed, FeedReport{}.Encode(),
+                       m_now);
+    CPPUNIT_ASSERT(m_plane->VoterToAsk(m_now) == NodeId{2});
+    Run(3 * kSecond);
+    CPPUNIT_ASSERT(!m_plane->VoterToAsk(m_now));
+  }
+
+  void TheStatusShowsVersionsAndTargets() {
+    CPPUNIT_ASSERT(SubmitNow(4) == OutcomeKind::kAccepted);
+    TargetNews news;
+    news.number = 5;
+    news.pool = "orders";
+    news.address = *Endpoint::Parse("10.0.0.5:80");
+    m_plane->Take(news, m_now);
+    FeedPoll poll;
+    poll.version = ConfigVersion{3};
+    poll.data_centre = "a";
+    m_plane->OnMessage(NodeId{0x0a000007}, MessageKind::kFeed, poll.Encode(),
+                       m_now);
+    const nlohmann::json status = ControlStatus(*m_plane, m_now);
+    CPPUNIT_ASSERT_EQUAL(std::string("voting"),
+                         status["role"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(4, status["version"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.7"),
+                         status["balancers"][0]["address"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(3, status["balancers"][0]["version"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.5:80"),
+                         status["targets"][0]["address"].get<std::string>());
+    CPPUNIT_ASSERT(status["controls"].empty());
+  }
+
   void FloodOfOneEventLeavesTheOthers() {
     LogBudget budget(LogBudgetSettings{});
     int written = 0;
@@ -126,10 +176,10 @@
     return {ConfigVersion{version}, std::make_shared<const Bytes>(Bytes{1})};
   }
 
-  void Start(bool is_first) {
+  void Start(bool is_first, NodeId contact = NodeId{1}) {
     ControlPlaneSettings settings;
     settings.replica.self = NodeId{1};
-    settings.replica.contacts = {NodeId{1}};
+    settings.replica.contacts = {contact};
     settings.replica.bootstrap = is_first;
     settings.replica.open_membership = true;
     settings.feed.self = NodeId{1};
--- a/tests/cookie_balancer_test.cc
+++ b/tests/cookie_balancer_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(RemovedRouteEndsItsFlowsUnknownOneDoesNot);
   CPPUNIT_TEST(OlderRoutesAreIgnored);
   CPPUNIT_TEST(GatheringBalancerHoldsPackets);
+  CPPUNIT_TEST(TellsHowLongFlowsTake);
   CPPUNIT_TEST(ForgetsIdleFlows);
   CPPUNIT_TEST(HoldIsBounded);
   CPPUNIT_TEST_SUITE_END();
@@ -281,6 +282,23 @@
     CPPUNIT_ASSERT(refused.reason == ForwardReason::kNoTarget);
   }
 
+  void TellsHowLongFlowsTake() {
+    const Forwarding opened = m_balancer.OnPacket(Opening(1), kSyn, m_now);
+    m_balancer.OnPacket(Opening(1), kSyn, m_now + milliseconds(200));
+    m_now += milliseconds(210);
+    m_balancer.OnPacket(Data(1, opened.cookie, 100), {}, m_now);
+    FlowPacket answered = Data(1, opened.cookie, 0);
+    answered.acknowledged += 500;
+    m_now += milliseconds(60);
+    m_balancer.OnPacket(answered, {}, m_now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_timings.size());
+    CPPUNIT_ASSERT(m_timings[0].step == FlowStep::kOpening);
+    CPPUNIT_ASSERT(m_timings[0].duration == milliseconds(210));
+    CPPUNIT_ASSERT(m_timings[1].step == FlowStep::kAnswer);
+    CPPUNIT_ASSERT(m_timings[1].duration == milliseconds(60));
+    CPPUNIT_ASSERT_EQUAL(opened.target, m_timings[1].target);
+  }
+
   void ForgetsIdleFlows() {
     OpenAt(1, kService, 1);
     Request(1, CookieOf(1));
@@ -318,7 +336,8 @@
          [] { return std::size_t{1}; }, [this] { return m_is_gathering; },
          [this](const TargetJudgement& judgement) {
            m_told.push_back(judgement.belief);
-         }});
+         },
+         [this](const FlowTiming& timing) { m_timings.push_back(timing); }});
   }
 
   void SetRoutes(std::uint64_t version,
@@ -416,6 +435,7 @@
   std::vector<TargetBelief> m_told;
   std::uint16_t m_next_port = 1000;
   TimePoint m_pulsed_at = m_now;
+  std::vector<FlowTiming> m_timings;
   TargetDirectory m_directory;
   RouteTablePtr m_routes;
   CookieBalancer m_balancer = MakeBalancer();
--- a/tests/replica_document_test.cc
+++ b/tests/replica_document_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(AReadWaitsForWhatWasAccepted);
   CPPUNIT_TEST(AReadIsConfirmedByTheMembersOfItsState);
   CPPUNIT_TEST(AReplicaAtANewAddressTakesTheSilentOnesPlace);
+  CPPUNIT_TEST(AFullClusterIsFollowedWithoutAVote);
   CPPUNIT_TEST(ARemovedReplicaComesBackWithAnotherStore);
   CPPUNIT_TEST(AFullDiskStopsVotesNotAnswers);
   CPPUNIT_TEST(LongDocumentsAreCompactedBySize);
@@ -306,6 +307,36 @@
     AssertOutcome(cluster.get(), 2, OutcomeKind::kAccepted);
   }
 
+  // Found by the sweep at 300 machines: requests to join a full cluster were
+  // decided one after the other, for good.
+  void AFullClusterIsFollowedWithoutAVote() {
+    const auto cluster = MakeCluster(3);
+    cluster->settings.max_members = 3;
+    for (std::uint32_t id = 1; id <= 3; ++id) {
+      cluster->Stop(NodeId{id});
+      cluster->Start(NodeId{id});
+    }
+    CPPUNIT_ASSERT(cluster->RunUntilVoting());
+    cluster->Start(NodeId{4});
+    cluster->Run(kSecond);
+    const auto index_of_1 = [&] {
+      return cluster->nodes[NodeId{1}].replica->Status(cluster->now).log_index;
+    };
+    const std::uint64_t before = index_of_1();
+    cluster->Run(5 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(before, index_of_1());
+    Submit(cluster.get(), 2, 1, MakeDocument(5, 50));
+    cluster->Run(kSecond);
+    AssertOutcome(cluster.get(), 1, OutcomeKind::kAccepted);
+    AssertDocument(cluster.get(), 4, 5, 50);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, MembersOf(cluster.get(), 1).size());
+    // It takes the place of a member that is gone.
+    cluster->Stop(NodeId{3});
+    cluster->Run(12 * kSecond);
+    CPPUNIT_ASSERT(MembersOf(cluster.get(), 1) ==
+                   std::set<NodeId>({NodeId{1}, NodeId{2}, NodeId{4}}));
+  }
+
   void ARemovedReplicaComesBackWithAnotherStore() {
     const auto cluster = MakeCluster(4);
     Submit(cluster.get(), 4, 1, MakeDocument(1, 1));
--- a/tests/target_feed_test.cc
+++ b/tests/target_feed_test.cc
@@ -20,7 +20,6 @@
 
 struct Control {
   TargetDirectory directory;
-  std::map<std::uint64_t, TimePoint> heard_at;
   EncodedRoutes routes{{}, std::make_shared<const Bytes>()};
   std::unique_ptr<FeedPublisher> publisher;
 };
@@ -33,6 +32,14 @@
   CPPUNIT_TEST(ANewSubscriberLearnsAllFromOne);
   CPPUNIT_TEST(OthersTargetsAreNotReportedAsLiving);
   CPPUNIT_TEST(AStormOfVersionsDoesNotHideLivingTargets);
+  CPPUNIT_TEST(ASilentTargetIsToldAsSuch);
+  CPPUNIT_TEST(ATargetThatMovesStaysAlive);
+  CPPUNIT_TEST(AnEndHeardByAnotherControlArrives);
+  CPPUNIT_TEST(LearnedNewsIsNotPushed);
+  CPPUNIT_TEST(ThousandsOfTargetsComeInParts);
+  CPPUNIT_TEST(IdleReportsDoNotGrowWithTargets);
+  CPPUNIT_TEST(ControlsThatFollowAreNamed);
+  CPPUNIT_TEST(AnInvitationCarriesNoTargets);
   CPPUNIT_TEST(CoveredTimeStandsWhileControlsAreSilent);
   CPPUNIT_TEST(ReadyOnceAllOrLongEnough);
   CPPUNIT_TEST(MembersThatNoListNamesAreForgotten);
@@ -146,6 +153,132 @@
     }
   }
 
+  void ASilentTargetIsToldAsSuch() {
+    SetRoutes(1);
+    Hear(NodeId{1}, 5, 1, AnnouncedState::kReady);
+    Hear(NodeId{1}, 6, 1, AnnouncedState::kReady);
+    const TimePoint last_call = m_now;
+    Run(kSecond);
+    for (std::uint64_t sequence = 2; sequence < 20; ++sequence) {
+      Hear(NodeId{1}, 6, sequence, AnnouncedState::kReady);
+      Run(milliseconds(770));
+    }
+    const Duration since = m_now - last_call;
+    CPPUNIT_ASSERT(Unheard(5) >= since - kSecond);
+    CPPUNIT_ASSERT(Unheard(6) <= milliseconds(2000));
+  }
+
+  // Its heartbeats fail at one control VM, so it calls another one.
+  void ATargetThatMovesStaysAlive() {
+    SetRoutes(1);
+    Hear(NodeId{1}, 5, 1, AnnouncedState::kReady);
+    Run(kSecond);
+    for (std::uint64_t sequence = 2; sequence < 40; ++sequence) {
+      Hear(NodeId{2}, 5, sequence, AnnouncedState::kReady);
+      Run(milliseconds(770));
+      CPPUNIT_ASSERT(Unheard(5) <= milliseconds(2000));
+    }
+    // Only the control VM that it calls speaks for it now.
+    m_down = {NodeId{2}};
+    const Duration before = Unheard(5);
+    Run(5 * kSecond);
+    CPPUNIT_ASSERT(Unheard(5) >= before + 4 * kSecond);
+  }
+
+  void AnEndHeardByAnotherControlArrives() {
+    SetRoutes(1);
+    Hear(NodeId{1}, 5, 1, AnnouncedState::kReady);
+    Run(kSecond);
+    Hear(NodeId{2}, 5, 2, AnnouncedState::kEnded);
+    Run(kSecond);
+    CPPUNIT_ASSERT(m_directory.Find(5)->news.state == AnnouncedState::kEnded);
+    const TimePoint heard_at = m_directory.Find(5)->heard_at;
+    Run(5 * kSecond);
+    CPPUNIT_ASSERT(m_directory.Find(5)->heard_at == heard_at);
+  }
+
+  // Or each change of a target would cost a report from every control VM to
+  // every balancer.
+  void LearnedNewsIsNotPushed() {
+    SetRoutes(1);
+    Run(11 * kSecond);
+    const std::size_t before = m_reports;
+    for (std::uint64_t number = 1; number <= 40; ++number) {
+      Learn(NodeId{1}, number);
+      Run(milliseconds(50));
+    }
+    // Two seconds of three control VMs' reports of silence.
+    CPPUNIT_ASSERT(m_reports - before <= 14);
+  }
+
+  void ThousandsOfTargetsComeInParts() {
+    SetRoutes(1);
+    m_loss = 10;
+    for (std::uint64_t number = 1; number <= 3000; ++number) {
+      Hear(NodeId{static_cast<std::uint32_t>(1 + number % 3)}, number, 1,
+           AnnouncedState::kReady);
+    }
+    Run(3 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3000}, m_directory.entries().size());
+    CPPUNIT_ASSERT(m_largest_report <= 32 << 10);
+  }
+
+  void IdleReportsDoNotGrowWithTargets() {
+    SetRoutes(1);
+    for (std::uint64_t number = 1; number <= 3000; ++number) {
+      Hear(NodeId{1}, number, 1, AnnouncedState::kReady);
+    }
+    Run(3 * kSecond);
+    for (std::uint64_t number = 1; number <= 3000; ++number) {
+      Hear(NodeId{1}, number, 2, AnnouncedState::kReady);
+    }
+    const std::size_t before = m_report_bytes;
+    Run(kSecond);
+    // Two reports from each of three control VMs.
+    CPPUNIT_ASSERT(m_report_bytes - before <= 6 * 100);
+    for (const auto& [number, entry] : m_directory.entries()) {
+      CPPUNIT_ASSERT(Unheard(number) <= milliseconds(2000));
+    }
+  }
+
+  // A control VM that does not vote is known through those that do.
+  void ControlsThatFollowAreNamed() {
+    SetRoutes(1);
+    StartControl(NodeId{4});
+    FeedPoll poll;
+    poll.is_control = true;
+    poll.data_centre = "dc-4";
+    for (int i = 0; i < 6; ++i) {
+      m_controls[1].publisher->OnMessage(NodeId{4}, poll.Encode(), m_now);
+      Run(kSecond);
+    }
+    Hear(NodeId{4}, 9, 1, AnnouncedState::kReady);
+    Run(kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, m_follower->SourceCount());
+    CPPUNIT_ASSERT(m_directory.Find(9) != nullptr);
+  }
+
+  // A node that knows all targets already is not sent them again.
+  void AnInvitationCarriesNoTargets() {
+    StartControl(NodeId{4});
+    Hear(NodeId{4}, 9, 1, AnnouncedState::kReady);
+    FeedPublisher& publisher = *m_controls[4].publisher;
+    publisher.Invite(NodeId{50}, m_now);
+    const Outbox invitation = publisher.OnTick(m_now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, invitation.size());
+    const auto message = DecodeFeedMessage(invitation[0].body);
+    CPPUNIT_ASSERT(message.has_value());
+    const auto* report = std::get_if<FeedReport>(&*message);
+    CPPUNIT_ASSERT(report != nullptr && report->changed.empty());
+    const Outbox reports =
+        publisher.OnMessage(NodeId{50}, FeedPoll{}.Encode(), m_now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports.size());
+    const auto answer = DecodeFeedMessage(reports[0].body);
+    CPPUNIT_ASSERT(answer.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         std::get<FeedReport>(*answer).changed.size());
+  }
+
   // So that silent control VMs are not taken for silent targets.
   void CoveredTimeStandsWhileControlsAreSilent() {
     SetRoutes(1);
@@ -190,7 +323,8 @@
     Hear(NodeId{1}, 5, 1, AnnouncedState::kReady);
     Run(kSecond);
     FeedReport report;
-    report.changed.push_back({m_directory.Find(5)->news, kSecond});
+    report.changed.push_back({m_directory.Find(5)->news, kSecond, true});
+    report.silence = SilenceReport{kSecond, {{7, 2 * kSecond}}};
     const Bytes whole = report.Encode();
     for (std::size_t size = 0; size < whole.size(); ++size) {
       CPPUNIT_ASSERT(!DecodeFeedMessage(ByteView(whole.data(), size)));
@@ -215,13 +349,8 @@
     settings.data_centre = "dc-" + std::to_string(id.value);
     control.publisher = std::make_unique<FeedPublisher>(
         settings, m_random(), &control.directory,
-        FeedPublisher::Hooks{
-            [this] { return m_members; }, [&control] { return control.routes; },
-            [&control](std::uint64_t target) -> std::optional<TimePoint> {
-              const auto found = control.heard_at.find(target);
-              if (found == control.heard_at.end()) return std::nullopt;
-              return found->second;
-            }});
+        FeedPublisher::Hooks{[this] { return m_members; },
+                             [&control] { return control.routes; }});
   }
 
   static EncodedRoutes Encode(std::uint64_t version) {
@@ -249,15 +378,24 @@
             AnnouncedState state) {
     m_controls[id.value].directory.Take(MakeNews(number, sequence, state),
                                         m_now);
-    m_controls[id.value].heard_at[number] = m_now;
+    m_controls[id.value].publisher->OnHeard(number, m_now);
   }
   void Learn(NodeId id, std::uint64_t number) {
     m_controls[id.value].directory.Take(
         MakeNews(number, 1, AnnouncedState::kReady), m_now);
   }
 
+  Duration Unheard(std::uint64_t number) const {
+    return m_follower->CoveredTime() - m_directory.Find(number)->heard_at;
+  }
+
   void Send(NodeId from, const Outbox& messages) {
     for (const OutgoingMessage& message : messages) {
+      if (message.to == kBalancer) {
+        ++m_reports;
+        m_report_bytes += message.body.size();
+        m_largest_report = std::max(m_largest_report, message.body.size());
+      }
       if (m_random() % 100 < m_loss) continue;
       m_in_flight.emplace(m_now + milliseconds(1 + m_random() % 5),
                           InFlight{from, message});
@@ -300,6 +438,9 @@
   std::multimap<TimePoint, InFlight> m_in_flight;
   TargetDirectory m_directory;
   ConfigVersion m_version;
+  std::size_t m_reports = 0;  // That control VMs sent to the balancer.
+  std::size_t m_report_bytes = 0;
+  std::size_t m_largest_report = 0;
   int m_errors = 0;
   std::unique_ptr<FeedFollower> m_follower;
 };
