New flows stay in their data centre unless its slots are busy

Routers move all flows when a balancer comes or goes; requests under way then counted as waiting at the old balancer for as long as the flow's record, 20 s. And one balancer of 16 has so few requests at a time that chance alone looks like a full data centre.

Change: spill goes by the time that answered requests took, a mean over 1 s, as a ramp from 0.6 to 0.9 of the slots; what waits now counts only beyond 2.5 standard deviations. A request without a word for 1.2 s is no load.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -128,6 +128,9 @@
   // Flows of a target that ended are told so this long after; until then it may
   // still finish what it has.
   Duration end_grace = std::chrono::milliseconds(1500);
+  // A request without an answer, or a repeat, for this long goes through
+  // another balancer by now, or was given up. Longer than full queues take.
+  Duration request_memory = std::chrono::milliseconds(1200);
   // A record of a flow without packets is forgotten after this long.
   Duration flow_memory = std::chrono::seconds(20);
   std::size_t max_flows = 200'000;
@@ -164,7 +167,8 @@
   std::vector<Forwarding> TakeResets();
   // When an opening packet will have waited too long; empty where none waits.
   std::optional<TimePoint> NextTick() const;
-  // Forgets flows without packets. To be called every second.
+  // Forgets flows and requests without packets. To be called every
+  // 250 ms.
   void Sweep(TimePoint now);
 
   std::size_t flow_count() const { return m_flows.size(); }       // NOLINT
--- a/include/sardinelead/flow_placement.h
+++ b/include/sardinelead/flow_placement.h
@@ -37,9 +37,13 @@
   std::uint32_t repeats_to_lose = 2;
   // A target that answers nothing is tried with one flow this often.
   Duration trial_interval = std::chrono::milliseconds(700);
-  // Waiting requests a slot, over the data centre's balancers, at which other
-  // data centres' targets take new flows too.
-  double spill_load = 1.0;
+  // The share of the data centre's slots that are busy from which on other data
+  // centres' targets take new flows, and at which they take half of them. A
+  // mean over `busy_memory`: a balancer has a few requests at a time, so that a
+  // moment tells little.
+  double spill_from = 0.6;
+  double spill_to = 0.9;
+  Duration busy_memory = std::chrono::seconds(1);
   // Speed of a target in its warm-up relative to a warm one.
   double cold_speed = 0.6;
   // How many open flows a waiting one counts for.
@@ -59,6 +63,11 @@
   std::uint32_t opening = 0;  // Flows whose opening packet has no answer yet.
   std::uint32_t open = 0;
   std::uint32_t waiting = 0;  // Of `open`: with a request that has no answer.
+  // Requests under way on average, from the time that each answered one took;
+  // as of `busy_at`. Other than `waiting` it does not hold what is answered
+  // through another balancer.
+  double busy = 0;
+  TimePoint busy_at;
   // When the oldest opening packet was sent that nothing answered since.
   std::optional<TimePoint> unanswered_since;
   std::optional<TimePoint> tried_at;  // While it answers nothing.
@@ -86,8 +95,10 @@
   // The opening packet goes elsewhere, or its caller gave up.
   void OnOpeningEnded(std::uint64_t target);
   void OnRequest(std::uint64_t target);
-  // The target answered a request, or the request ended otherwise.
-  void OnAnswer(std::uint64_t target, bool is_answered, TimePoint now);
+  // The target answered a request that was sent at `sent_at`.
+  void OnAnswer(std::uint64_t target, TimePoint sent_at, TimePoint now);
+  // A request is not under way here any more.
+  void OnRequestEnded(std::uint64_t target);
   // A request sent at `sent_at` was repeated. Whether that shows that the
   // target is lost, which is told once.
   bool OnRepeat(std::uint64_t target, TimePoint sent_at, TimePoint now);
@@ -100,7 +111,10 @@
 
  private:
   static void NoteAnswer(TargetView* view, TimePoint now);
+  double BusyAt(const TargetView& view, TimePoint now) const;
   double Score(const PlacementTarget& target) const;
+  static double ExpectedBusy(double mean, double waiting);
+  bool IsSpilled(double load, std::uint64_t random) const;
 
   PlacementSettings m_settings;
   std::unordered_map<std::uint64_t, TargetView> m_views;
--- a/include/sardinelead/target_feed.h
+++ b/include/sardinelead/target_feed.h
@@ -36,6 +36,8 @@
 
 namespace sardinelead {
 
+struct ReportedTarget;
+
 struct FeedSettings {
   NodeId self;
   std::string data_centre;
@@ -43,8 +45,12 @@
   Duration report_interval = std::chrono::milliseconds(500);
   Duration repeat_interval = std::chrono::milliseconds(150);
   // Between two reports to one subscriber, so that changes that come together
-  // share one.
+  // share one: `report_gap`, and longer with many subscribers, so that one
+  // publisher sends at most one in `report_spacing`, but not above
+  // `max_report_gap`.
   Duration report_gap = std::chrono::milliseconds(40);
+  Duration report_spacing = std::chrono::microseconds(700);
+  Duration max_report_gap = std::chrono::seconds(1);
   // A target that called later than this ago is not listed as silent. Longer
   // than between two of its heartbeats.
   Duration unlisted_silence = std::chrono::milliseconds(1200);
@@ -97,8 +103,9 @@
                 const TargetDirectory* directory, Hooks hooks);
 
   Outbox OnMessage(NodeId from, ByteView body, TimePoint now);
-  // The target called this control VM; the directory has what it said.
-  void OnHeard(std::uint64_t target, TimePoint now);
+  // The target called this control VM; the directory has what it said, and
+  // `is_changed` where balancers act on that.
+  void OnHeard(std::uint64_t target, bool is_changed, TimePoint now);
   // Reports that are due. To be called after each change, at once, and every
   // 50 ms.
   Outbox OnTick(TimePoint now);
@@ -128,6 +135,10 @@
     TimePoint members_at;  // When it was last told the control VMs.
     std::uint64_t sent_revision = 0;
     ConfigVersion sent_version;
+    // Of the last report with changes, which the subscriber acknowledges.
+    std::uint64_t awaited_revision = 0;
+    // Reports in a row that were not acknowledged; the next one waits longer.
+    std::uint32_t repeats = 0;
   };
 
   // What is told of one target of the directory.
@@ -141,19 +152,29 @@
   Outbox ReportTo(NodeId id, Subscriber* subscriber, TimePoint now);
   bool IsDue(const Subscriber& subscriber, ConfigVersion version,
              TimePoint now) const;
+  Duration ReportGap() const;
   // The revision that the subscriber should have.
   std::uint64_t GoalOf(const Subscriber& subscriber) const {
     return subscriber.wants_all ? m_revision : m_heard_revision;
   }
   // Takes over what changed in the directory.
   void Refresh();
-  void Touch(std::uint64_t target);
+  // Gives the target's record a new revision. What is not urgent goes with the
+  // next report of silence.
+  void Touch(std::uint64_t target, bool is_urgent);
   // Once a second: targets that call another control VM now, or are forgotten.
   void DropSilent(TimePoint now);
   void RefreshMembers(TimePoint now);
   struct SilenceReport MakeSilence(TimePoint now) const;
-  void AddChanged(const Subscriber& subscriber, TimePoint now,
-                  struct FeedReport* report) const;
+  // Changes that a subscriber does not have, encoded.
+  struct Changes {
+    std::uint64_t revision = 0;  // All changes up to here are in it.
+    std::size_t count = 0;
+    bool has_more = false;
+    std::shared_ptr<const Bytes> encoded;
+  };
+  const Changes& ChangesFor(const Subscriber& subscriber, TimePoint now);
+  Changes MakeChanges(const Subscriber& subscriber, TimePoint now) const;
   std::size_t BalancersIn(const std::string& data_centre) const;
 
   FeedSettings m_settings;
@@ -165,11 +186,16 @@
   std::map<std::uint64_t, std::uint64_t> m_changes;  // Target by revision.
   // 0 is a subscriber's that was told nothing.
   std::uint64_t m_revision = 1;
+  std::uint64_t m_urgent_revision = 1;     // Of those to be pushed at once.
   std::uint64_t m_heard_revision = 1;      // Of targets that were ever heard.
   std::uint64_t m_directory_revision = 0;  // That was taken over.
   std::vector<NodeId> m_members;
   TimePoint m_members_changed_at;
   TimePoint m_dropped_at;
+  // Subscribers mostly have the same: by what they have, and whether they want
+  // all. Until the next change, and for one tick.
+  std::map<std::pair<std::uint64_t, bool>, Changes> m_changes_made;
+  std::uint64_t m_changes_made_for = 0;  // m_revision.
 };
 
 // The balancer's end: keeps its directory and its routes up to date.
@@ -227,7 +253,9 @@
   }
   void OnReport(NodeId from, const struct FeedReport& report, TimePoint now,
                 Outbox* out);
-  void TakeTargets(const struct FeedReport& report, Source* source,
+  void TakeTargets(const std::vector<ReportedTarget>& targets, Source* source,
+                   TimePoint now);
+  void TakeSilence(const struct SilenceReport& report, const Source& source,
                    TimePoint now);
   void OnRoutes(NodeId from, ByteView bytes);
   void AddSource(NodeId id);
--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -199,8 +199,11 @@
 
 NewsEffect ControlPlane::Take(const TargetNews& news, TimePoint now) {
   const NewsEffect effect = m_directory.Take(news, now);
-  if (effect != NewsEffect::kStale) m_publisher.OnHeard(news.number, now);
-  if (effect == NewsEffect::kChanged) m_hooks.send(m_publisher.OnTick(now));
+  const bool is_changed = effect == NewsEffect::kChanged;
+  if (effect != NewsEffect::kStale) {
+    m_publisher.OnHeard(news.number, is_changed, now);
+  }
+  if (is_changed) m_hooks.send(m_publisher.OnTick(now));
   return effect;
 }
 
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -268,7 +268,7 @@
   if (is_answered) {
     flow->acknowledged = packet.acknowledged;
     if (flow->is_waiting) {
-      m_placement.OnAnswer(flow->target, true, now);
+      m_placement.OnAnswer(flow->target, flow->request_at, now);
       m_hooks.on_timing(
           {FlowStep::kAnswer, flow->target, now - flow->request_at});
     }
@@ -368,7 +368,7 @@
   const auto found = m_flows.find(key);
   if (found == m_flows.end()) return;
   const Flow& flow = found->second;
-  if (flow.is_waiting) m_placement.OnAnswer(flow.target, false, TimePoint{});
+  if (flow.is_waiting) m_placement.OnRequestEnded(flow.target);
   if (flow.is_open) {
     m_placement.OnClosed(flow.target);
   } else if (flow.target != 0) {
@@ -444,8 +444,15 @@
 
 void CookieBalancer::Sweep(TimePoint now) {
   std::vector<FlowKey> old;
-  for (const auto& [key, flow] : m_flows) {
-    if (now - flow.seen_at > m_settings.flow_memory) old.push_back(key);
+  for (auto& [key, flow] : m_flows) {
+    const Duration quiet = now - flow.seen_at;
+    if (quiet > m_settings.flow_memory) old.push_back(key);
+    if (!flow.is_waiting || quiet <= m_settings.request_memory) continue;
+    // Routers send all flows elsewhere when a balancer comes or goes: what was
+    // under way here must not count as load for as long as the record.
+    m_placement.OnRequestEnded(flow.target);
+    flow.is_waiting = false;
+    flow.is_repeating = false;
   }
   for (const FlowKey& key : old) Forget(key);
 }
--- a/src/feed_follower.cc
+++ b/src/feed_follower.cc
@@ -89,7 +89,10 @@
   m_balancers = std::max<std::size_t>(report.balancers, 1);
   for (const NodeId member : report.members) AddSource(member);
   if (!report.members.empty()) m_members = report.members;
-  TakeTargets(report, &source, now);
+  const auto changed = DecodeTargets(*report.changed);
+  if (!changed) return m_hooks.on_error(from, changed.error());
+  TakeTargets(*changed, &source, now);
+  if (report.silence) TakeSilence(*report.silence, source, now);
   // A report that builds on changes that never came leaves a gap: the poll
   // tells what is missing.
   const bool is_next = report.base <= source.revision;
@@ -98,7 +101,7 @@
     source.has_told_all = source.has_told_all || is_whole;
     source.revision = std::max(source.revision, report.revision);
   }
-  const bool must_answer = !report.changed.empty() || !is_next || is_new_start;
+  const bool must_answer = !changed->empty() || !is_next || is_new_start;
   const bool wants_routes =
       m_version < report.version && now - m_routes_asked_at >= kRoutesRepeat;
   if (wants_routes) m_routes_asked_at = now;
@@ -109,11 +112,10 @@
   TellSources(now);
 }
 
-void FeedFollower::TakeTargets(const FeedReport& report, Source* source,
-                               TimePoint now) {
-  const TimePoint directory_time = DirectoryTime(now);
-  for (const ReportedTarget& target : report.changed) {
-    m_directory->Take(target.news, directory_time - target.silent);
+void FeedFollower::TakeTargets(const std::vector<ReportedTarget>& targets,
+                               Source* source, TimePoint now) {
+  for (const ReportedTarget& target : targets) {
+    m_directory->Take(target.news, DirectoryTime(now) - target.silent);
     const bool is_living =
         target.is_heard && target.news.state != AnnouncedState::kEnded;
     if (is_living) {
@@ -122,20 +124,23 @@
       source->targets.erase(target.news.number);
     }
   }
-  if (!report.silence) return;
+}
+
+void FeedFollower::TakeSilence(const SilenceReport& report,
+                               const Source& source, TimePoint now) {
   std::unordered_map<std::uint32_t, Duration> silent;
-  for (const SilentTarget& target : report.silence->listed) {
+  for (const SilentTarget& target : report.listed) {
     silent.emplace(target.cookie, target.silent);
   }
-  for (const std::uint64_t number : source->targets) {
+  for (const std::uint64_t number : source.targets) {
     const TargetDirectory::Entry* entry = m_directory->Find(number);
     const bool is_over =
         entry == nullptr || entry->news.state == AnnouncedState::kEnded;
     if (is_over) continue;
     const auto found = silent.find(CookieOf(number));
     const Duration silence =
-        found == silent.end() ? report.silence->unlisted : found->second;
-    m_directory->Renew(CookieOf(number), directory_time - silence);
+        found == silent.end() ? report.unlisted : found->second;
+    m_directory->Renew(CookieOf(number), DirectoryTime(now) - silence);
   }
 }
 
--- a/src/feed_message.cc
+++ b/src/feed_message.cc
@@ -110,11 +110,7 @@
     if (!member.is_number_unsigned()) return Unreadable("a member");
     report.members.push_back(NodeId{member.get<std::uint32_t>()});
   }
-  for (const json& item : reader->Array()) {
-    ReportedTarget target;
-    if (!ReadTarget(item, &target)) return Unreadable("a target");
-    report.changed.push_back(std::move(target));
-  }
+  report.changed = std::make_shared<const Bytes>(reader->Blob());
   if (!ReadSilence(reader->Array(), &report.silence)) {
     return Unreadable("the silence of targets");
   }
@@ -124,6 +120,25 @@
 
 }  // namespace
 
+std::shared_ptr<const Bytes> EncodeTargets(
+    const std::vector<ReportedTarget>& targets) {
+  json list = json::array();
+  for (const ReportedTarget& target : targets) list.push_back(ToJson(target));
+  return std::make_shared<const Bytes>(ToCbor(list));
+}
+
+Result<std::vector<ReportedTarget>> DecodeTargets(ByteView bytes) {
+  const json list = FromCbor(bytes);
+  if (!list.is_array()) return Unreadable("a list of targets");
+  std::vector<ReportedTarget> targets;
+  for (const json& item : list) {
+    ReportedTarget target;
+    if (!ReadTarget(item, &target)) return Unreadable("a target");
+    targets.push_back(std::move(target));
+  }
+  return targets;
+}
+
 Bytes FeedPoll::Encode() const {
   return ToCbor(
       json::array({TypeNumber(FeedType::kPoll), epoch, revision, version.value,
@@ -134,14 +149,10 @@
 Bytes FeedReport::Encode() const {
   json member_list = json::array();
   for (const NodeId member : members) member_list.push_back(member.value);
-  json changed_list = json::array();
-  for (const ReportedTarget& target : changed) {
-    changed_list.push_back(ToJson(target));
-  }
-  return ToCbor(json::array({TypeNumber(FeedType::kReport), epoch, revision,
-                             base, ToNumber(has_more), version.value,
-                             data_centre, balancers, std::move(member_list),
-                             std::move(changed_list), ToJson(silence)}));
+  return ToCbor(
+      json::array({TypeNumber(FeedType::kReport), epoch, revision, base,
+                   ToNumber(has_more), version.value, data_centre, balancers,
+                   std::move(member_list), Binary(*changed), ToJson(silence)}));
 }
 
 Bytes FeedRoutes::Encode() const {
--- a/src/feed_message.h
+++ b/src/feed_message.h
@@ -4,6 +4,7 @@
 // The messages between FeedPublisher and FeedFollower, as CBOR arrays that
 // begin with their type.
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -52,6 +53,10 @@
   std::vector<SilentTarget> listed;
 };
 
+std::shared_ptr<const Bytes> EncodeTargets(
+    const std::vector<ReportedTarget>& targets);
+Result<std::vector<ReportedTarget>> DecodeTargets(ByteView bytes);
+
 // From a control process.
 struct FeedReport {
   std::uint64_t epoch = 0;
@@ -62,7 +67,8 @@
   std::string data_centre;      // Of the control process.
   std::uint64_t balancers = 0;  // Of the subscriber's data centre.
   std::vector<NodeId> members;  // Control VMs; empty where not told.
-  std::vector<ReportedTarget> changed;
+  // EncodeTargets() of what changed: encoded once for many subscribers.
+  std::shared_ptr<const Bytes> changed = EncodeTargets({});
   std::optional<SilenceReport> silence;
 
   Bytes Encode() const;
--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -11,6 +11,8 @@
 constexpr Duration kHeardMemory = std::chrono::seconds(10);
 constexpr Duration kDropInterval = std::chrono::seconds(1);
 constexpr Duration kMembersInterval = std::chrono::seconds(3);
+// Doublings of the wait for an acknowledgment.
+constexpr std::uint32_t kMaxRepeats = 3;
 // Of some 70 bytes each, so that a report passes a slow link in a few
 // milliseconds and a lost datagram costs little.
 constexpr std::size_t kMaxRecords = 256;
@@ -61,34 +63,38 @@
   return out;
 }
 
-void FeedPublisher::OnHeard(std::uint64_t target, TimePoint now) {
+void FeedPublisher::OnHeard(std::uint64_t target, bool is_changed,
+                            TimePoint now) {
   Refresh();
   const TargetDirectory::Entry* entry = m_directory->Find(target);
   if (entry == nullptr) return;
   const bool is_over = entry->news.state == AnnouncedState::kEnded;
   Record& record = m_records[target];
-  const bool is_new = !record.was_heard || (!record.is_heard && !is_over);
+  const bool is_first = !record.was_heard;
+  const bool has_moved_here = !record.is_heard && !is_over;
   record.heard_at = now;
   record.was_heard = true;
   record.is_heard = !is_over;
-  if (is_new) Touch(target);
+  if (is_first || has_moved_here) Touch(target, is_changed);
 }
 
 void FeedPublisher::Refresh() {
   const std::uint64_t revision = m_directory->revision();
   if (m_directory_revision == revision) return;
   for (const auto& [number, entry] : m_directory->entries()) {
-    if (entry.revision > m_directory_revision) Touch(number);
+    if (entry.revision > m_directory_revision) Touch(number, true);
   }
   m_directory_revision = revision;
 }
 
-void FeedPublisher::Touch(std::uint64_t target) {
+void FeedPublisher::Touch(std::uint64_t target, bool is_urgent) {
   Record& record = m_records[target];
   m_changes.erase(record.revision);
   record.revision = ++m_revision;
   m_changes.emplace(record.revision, target);
-  if (record.was_heard) m_heard_revision = record.revision;
+  if (!record.was_heard) return;
+  m_heard_revision = record.revision;
+  if (is_urgent) m_urgent_revision = record.revision;
 }
 
 void FeedPublisher::DropSilent(TimePoint now) {
@@ -106,7 +112,7 @@
         record.is_heard && now - record.heard_at > kHeardMemory;
     if (is_gone) {
       it->second.is_heard = false;
-      Touch(number);
+      Touch(number, false);
     }
     ++it;
   }
@@ -144,25 +150,34 @@
   return all;
 }
 
+Duration FeedPublisher::ReportGap() const {
+  const auto subscribers = static_cast<Duration::rep>(m_subscribers.size());
+  const Duration spaced = m_settings.report_spacing * subscribers;
+  return std::clamp(spaced, m_settings.report_gap, m_settings.max_report_gap);
+}
+
 bool FeedPublisher::IsDue(const Subscriber& subscriber, ConfigVersion version,
                           TimePoint now) const {
   const Duration since = now - subscriber.reported_at;
-  if (since < m_settings.report_gap) return false;
-  const std::uint64_t goal = GoalOf(subscriber);
-  const bool is_news =
-      subscriber.has_polled &&
-      (subscriber.sent_revision < goal || subscriber.sent_version < version);
-  const bool is_lost =
-      (subscriber.acknowledged < goal || subscriber.version < version) &&
-      since >= m_settings.repeat_interval;
-  return is_news || is_lost ||
-         now - subscriber.silence_at >= m_settings.report_interval;
+  const Duration gap = ReportGap();
+  if (since < gap) return false;
+  if (now - subscriber.silence_at >= m_settings.report_interval) return true;
+  const bool has_urgent = subscriber.sent_revision < m_urgent_revision ||
+                          subscriber.sent_version < version;
+  const bool is_in_flight =
+      !subscriber.has_polled ||
+      subscriber.acknowledged < subscriber.awaited_revision;
+  if (has_urgent && !is_in_flight) return true;
+  if (!is_in_flight && !(subscriber.version < version)) return false;
+  const Duration repeat = std::max(m_settings.repeat_interval, gap);
+  return since >= repeat * (1U << subscriber.repeats);
 }
 
 Outbox FeedPublisher::OnTick(TimePoint now) {
   Refresh();
   DropSilent(now);
   RefreshMembers(now);
+  m_changes_made.clear();
   Outbox out;
   const ConfigVersion version = m_hooks.routes().version;
   for (auto it = m_subscribers.begin(); it != m_subscribers.end();) {
@@ -191,6 +206,8 @@
 
 Outbox FeedPublisher::ReportTo(NodeId id, Subscriber* subscriber,
                                TimePoint now) {
+  const bool is_repeat =
+      subscriber->acknowledged < subscriber->awaited_revision;
   FeedReport report;
   report.epoch = m_epoch;
   report.base = subscriber->acknowledged;
@@ -199,7 +216,11 @@
   // A node that was only invited answers with a poll that says what it needs.
   if (subscriber->has_polled) {
     report.balancers = BalancersIn(subscriber->data_centre);
-    AddChanged(*subscriber, now, &report);
+    const Changes& changes = ChangesFor(*subscriber, now);
+    report.revision = changes.revision;
+    report.has_more = changes.has_more;
+    report.changed = changes.encoded;
+    if (changes.count > 0) subscriber->awaited_revision = changes.revision;
   }
   const bool tells_silence =
       now - subscriber->silence_at >= m_settings.report_interval;
@@ -213,6 +234,8 @@
     report.members = m_members;
     subscriber->members_at = now;
   }
+  subscriber->repeats =
+      is_repeat ? std::min(subscriber->repeats + 1, kMaxRepeats) : 0;
   subscriber->reported_at = now;
   subscriber->sent_revision = report.revision;
   subscriber->sent_version = report.version;
@@ -233,10 +256,22 @@
   return silence;
 }
 
-// Changes that the subscriber does not have, oldest first.
-void FeedPublisher::AddChanged(const Subscriber& subscriber, TimePoint now,
-                               FeedReport* report) const {
-  report->revision = m_revision;
+const FeedPublisher::Changes& FeedPublisher::ChangesFor(
+    const Subscriber& subscriber, TimePoint now) {
+  if (m_changes_made_for != m_revision) m_changes_made.clear();
+  m_changes_made_for = m_revision;
+  const auto [found, is_new] = m_changes_made.try_emplace(
+      std::pair(subscriber.acknowledged, subscriber.wants_all));
+  if (is_new) found->second = MakeChanges(subscriber, now);
+  return found->second;
+}
+
+// Oldest first.
+FeedPublisher::Changes FeedPublisher::MakeChanges(const Subscriber& subscriber,
+                                                  TimePoint now) const {
+  Changes changes;
+  changes.revision = m_revision;
+  std::vector<ReportedTarget> targets;
   for (auto it = m_changes.upper_bound(subscriber.acknowledged);
        it != m_changes.end(); ++it) {
     const auto [revision, number] = *it;
@@ -245,18 +280,21 @@
     const bool is_told =
         entry != nullptr && (record.was_heard || subscriber.wants_all);
     if (!is_told) continue;
-    if (report->changed.size() >= kMaxRecords) {
-      report->revision = revision - 1;
-      report->has_more = true;
-      return;
+    if (targets.size() >= kMaxRecords) {
+      changes.revision = revision - 1;
+      changes.has_more = true;
+      break;
     }
     const TimePoint heard_at =
         record.is_heard ? record.heard_at : entry->heard_at;
     ReportedTarget target{entry->news, now - heard_at, record.is_heard};
     const bool is_warm = entry->warm_at <= now;
     target.news.warm_up_left = is_warm ? Duration{0} : entry->warm_at - now;
-    report->changed.push_back(std::move(target));
+    targets.push_back(std::move(target));
   }
+  changes.count = targets.size();
+  changes.encoded = EncodeTargets(targets);
+  return changes;
 }
 
 }  // namespace sardinelead
--- a/src/flow_placement.cc
+++ b/src/flow_placement.cc
@@ -1,11 +1,18 @@
 #include "sardinelead/flow_placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace sardinelead {
 namespace {
 
+// Standard deviations that a count of requests lies above its mean by chance.
+constexpr double kSureDeviations = 2.5;
+
+constexpr double kMaxSpilled = 0.5;  // Of new flows.
+constexpr std::uint64_t kLots = 1000;
+
 bool Contains(const std::vector<std::uint64_t>& list, std::uint64_t number) {
   return std::find(list.begin(), list.end(), number) != list.end();
 }
@@ -47,6 +54,7 @@
   BestTarget local(random);
   BestTarget remote(random);
   BestTarget suspect(random);
+  double local_busy = 0;
   double local_waiting = 0;
   double local_slots = 0;
   for (const PlacementTarget& target : targets) {
@@ -65,6 +73,7 @@
       continue;
     }
     if (target.is_local) {
+      local_busy += BusyAt(view, now);
       local_waiting += view.waiting;
       local_slots += target.slots;
       local.Offer(target.number, Score(target));
@@ -72,14 +81,29 @@
       remote.Offer(target.number, Score(target));
     }
   }
-  const bool is_full = local_waiting * static_cast<double>(balancers) >=
-                       m_settings.spill_load * local_slots;
-  if (local.number() && !(is_full && remote.number())) return local.number();
-  if (!local.number()) {
+  if (!local.number() || !remote.number()) {
+    if (local.number()) return local.number();
     return remote.number() ? remote.number() : suspect.number();
   }
-  // Full here; the others' own load is not known, so as many flows stay.
-  return random % 2 == 0 ? local.number() : remote.number();
+  const double busy = ExpectedBusy(local_busy, local_waiting);
+  const double load = busy * static_cast<double>(balancers) / local_slots;
+  return IsSpilled(load, random) ? remote.number() : local.number();
+}
+
+// Requests under way, from their mean and from how many wait at this moment: a
+// burst shows before its first answers where it is beyond chance.
+double FlowPlacement::ExpectedBusy(double mean, double waiting) {
+  const bool is_burst = waiting > mean + kSureDeviations * std::sqrt(mean + 1);
+  return is_burst ? waiting : mean;
+}
+
+// The others' own load is not known, so as many flows stay as leave at most.
+bool FlowPlacement::IsSpilled(double load, std::uint64_t random) const {
+  const double share = (load - m_settings.spill_from) /
+                       (m_settings.spill_to - m_settings.spill_from) *
+                       kMaxSpilled;
+  const auto lot = static_cast<double>(random % kLots) / kLots;
+  return lot < std::min(share, kMaxSpilled);
 }
 
 double FlowPlacement::Score(const PlacementTarget& target) const {
@@ -123,15 +147,29 @@
   Decrease(&m_views[target].opening);
 }
 
+double FlowPlacement::BusyAt(const TargetView& view, TimePoint now) const {
+  const std::chrono::duration<double> age = now - view.busy_at;
+  const std::chrono::duration<double> memory = m_settings.busy_memory;
+  return view.busy * std::exp(-age / memory);
+}
+
 void FlowPlacement::OnRequest(std::uint64_t target) {
   ++m_views[target].waiting;
 }
 
-void FlowPlacement::OnAnswer(std::uint64_t target, bool is_answered,
+void FlowPlacement::OnAnswer(std::uint64_t target, TimePoint sent_at,
                              TimePoint now) {
   TargetView& view = m_views[target];
   Decrease(&view.waiting);
-  if (is_answered) NoteAnswer(&view, now);
+  const std::chrono::duration<double> length = now - sent_at;
+  const std::chrono::duration<double> memory = m_settings.busy_memory;
+  view.busy = BusyAt(view, now) + length / memory;
+  view.busy_at = now;
+  NoteAnswer(&view, now);
+}
+
+void FlowPlacement::OnRequestEnded(std::uint64_t target) {
+  Decrease(&m_views[target].waiting);
 }
 
 void FlowPlacement::NoteAnswer(TargetView* view, TimePoint now) {
--- a/src/target_store.cc
+++ b/src/target_store.cc
@@ -41,7 +41,9 @@
   if (!message) return tl::unexpected<Error>(message.error());
   const auto* report = std::get_if<FeedReport>(&*message);
   if (report == nullptr) return tl::unexpected<Error>(corrupt);
-  for (const ReportedTarget& target : report->changed) {
+  const auto targets = DecodeTargets(*report->changed);
+  if (!targets) return tl::unexpected<Error>(targets.error());
+  for (const ReportedTarget& target : *targets) {
     stored.targets.push_back(target.news);
   }
   stored.subscribers = report->members;
@@ -52,10 +54,12 @@
                   const std::vector<NodeId>& subscribers) {
   FeedReport report;
   report.members = subscribers;
+  std::vector<ReportedTarget> targets;
   for (const auto& [number, entry] : directory.entries()) {
     if (entry.news.state == AnnouncedState::kEnded) continue;
-    report.changed.push_back({entry.news, Duration{0}, false});
+    targets.push_back({entry.news, Duration{0}, false});
   }
+  report.changed = EncodeTargets(targets);
   const Bytes body = report.Encode();
   Bytes file(kChecksumBytes);
   StoreBig(ChecksumOf(body), file.data());
--- a/tests/cookie_balancer_test.cc
+++ b/tests/cookie_balancer_test.cc
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(OlderRoutesAreIgnored);
   CPPUNIT_TEST(GatheringBalancerHoldsPackets);
   CPPUNIT_TEST(TellsHowLongFlowsTake);
+  CPPUNIT_TEST(ARequestThatIsAnsweredElsewhereIsNoLoad);
   CPPUNIT_TEST(ForgetsIdleFlows);
   CPPUNIT_TEST(HoldIsBounded);
   CPPUNIT_TEST_SUITE_END();
@@ -299,6 +300,25 @@
     CPPUNIT_ASSERT_EQUAL(opened.target, m_timings[1].target);
   }
 
+  // The load of a rolling restart: each change of the balancers in rotation
+  // moves all flows, with requests under way, to other balancers.
+  void ARequestThatIsAnsweredElsewhereIsNoLoad() {
+    for (std::uint16_t port = 1; port <= 20; ++port) {
+      OpenAt(port, kService, 1);
+      Request(port, CookieOf(1));
+    }
+    CPPUNIT_ASSERT_EQUAL(20U, m_balancer.placement().Find(1)->waiting);
+    m_now += 3 * kSecond;
+    m_balancer.Sweep(m_now);
+    CPPUNIT_ASSERT_EQUAL(0U, m_balancer.placement().Find(1)->waiting);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{20}, m_balancer.flow_count());
+    // An answer that comes after all counts once.
+    FlowPacket answered = Data(1, CookieOf(1), 0);
+    answered.acknowledged += 500;
+    m_balancer.OnPacket(answered, {}, m_now);
+    CPPUNIT_ASSERT_EQUAL(0U, m_balancer.placement().Find(1)->waiting);
+  }
+
   void ForgetsIdleFlows() {
     OpenAt(1, kService, 1);
     Request(1, CookieOf(1));
--- a/tests/flow_placement_test.cc
+++ b/tests/flow_placement_test.cc
@@ -11,6 +11,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+constexpr Duration kSecond = std::chrono::seconds(1);
 
 PlacementTarget MakeTarget(std::uint64_t number, bool is_local = true,
                            std::uint32_t slots = 3, bool is_cold = false) {
@@ -27,6 +28,8 @@
   CPPUNIT_TEST(EvenFlowsOverSlots);
   CPPUNIT_TEST(LocalTargetsGoFirst);
   CPPUNIT_TEST(OtherDataCentresHelpWhenSlotsAreFull);
+  CPPUNIT_TEST(AMomentOfManyRequestsIsNoFullDataCentre);
+  CPPUNIT_TEST(ABurstSpillsBeforeItsFirstAnswers);
   CPPUNIT_TEST(NobodyLeftHere);
   CPPUNIT_TEST(SlowTargetsGetLess);
   CPPUNIT_TEST(ColdTargetGetsLess);
@@ -78,14 +81,13 @@
     const std::vector<PlacementTarget> targets = {MakeTarget(1),
                                                   MakeTarget(2, false)};
     OpenMany(targets, 3);
-    for (int i = 0; i < 3; ++i) m_placement.OnRequest(1);
+    KeepBusy(1, 3);
     auto flows = OpenMany(targets, 100);
     CPPUNIT_ASSERT(flows[2] > 30 && flows[2] < 70);
-    for (int i = 0; i < 2; ++i) m_placement.OnAnswer(1, true, m_now);
+    KeepBusy(1, 1);
     flows = OpenMany(targets, 100);
     CPPUNIT_ASSERT_EQUAL(100, flows[1]);
     // The same work at each of three balancers fills the slots, too.
-    m_placement.OnRequest(1);
     int remote = 0;
     for (int i = 0; i < 100; ++i) {
       const auto chosen = m_placement.Choose(targets, {}, 3, m_random(), m_now);
@@ -94,6 +96,88 @@
     CPPUNIT_ASSERT(remote > 30);
   }
 
+  // For three seconds, `count` requests of 100 ms are under way at all times.
+  void KeepBusy(std::uint64_t target, int count) {
+    for (int round = 0; round < 30; ++round) {
+      const TimePoint sent = m_now;
+      for (int i = 0; i < count; ++i) m_placement.OnRequest(target);
+      m_now += milliseconds(100);
+      for (int i = 0; i < count; ++i) {
+        m_placement.OnAnswer(target, sent, m_now);
+      }
+    }
+  }
+
+  // One of 16 balancers of a data centre with 30 targets of two slots, whose
+  // requests take 60 ms: at less than half of the slots' work its flows stay,
+  // so that a partition of the data centre breaks none; beyond all slots, many
+  // go elsewhere.
+  void AMomentOfManyRequestsIsNoFullDataCentre() {
+    CPPUNIT_ASSERT(RemoteShare(0.45) <= 0.01);
+    setUp();
+    // At least what the slots cannot work off.
+    CPPUNIT_ASSERT(RemoteShare(1.3) >= 1 - 1 / 1.3);
+  }
+
+  void setUp() override { m_placement = FlowPlacement(PlacementSettings{}); }
+
+  // The share of new flows that leave the data centre when requests come by
+  // chance, at `load` times what all slots work off.
+  double RemoteShare(double load) {
+    constexpr std::size_t kBalancers = 16;
+    constexpr double kRequestMs = 60;
+    std::vector<PlacementTarget> targets;
+    for (std::uint64_t number = 1; number <= 60; ++number) {
+      targets.push_back(MakeTarget(number, number <= 30, 2));
+    }
+    const double per_ms = load * 60 / kBalancers / kRequestMs;
+    std::exponential_distribution<double> length(1 / kRequestMs);
+    struct Request {
+      std::uint64_t target = 0;
+      TimePoint sent_at;
+    };
+    std::multimap<TimePoint, Request> ends;
+    int opened = 0;
+    int remote = 0;
+    for (int ms = 0; ms < 60'000; ++ms) {
+      m_now += milliseconds(1);
+      while (!ends.empty() && ends.begin()->first <= m_now) {
+        const Request& request = ends.begin()->second;
+        m_placement.OnAnswer(request.target, request.sent_at, m_now);
+        ends.erase(ends.begin());
+      }
+      const bool has_request =
+          std::uniform_real_distribution<double>()(m_random) < per_ms;
+      if (!has_request) continue;
+      const std::uint64_t target = Open(targets, kBalancers);
+      ++opened;
+      remote += target > 30 ? 1 : 0;
+      m_placement.OnOpened(target, true, m_now);
+      m_placement.OnRequest(target);
+      m_placement.OnClosed(target);
+      ends.emplace(m_now + std::chrono::duration_cast<Duration>(
+                               std::chrono::duration<double, std::milli>(
+                                   length(m_random))),
+                   Request{target, m_now});
+    }
+    return static_cast<double>(remote) / opened;
+  }
+
+  // The load after a loss of power: all callers come at once, to a balancer
+  // that has seen no answer yet. Three balancers, two targets of three slots.
+  void ABurstSpillsBeforeItsFirstAnswers() {
+    const std::vector<PlacementTarget> targets = {MakeTarget(1), MakeTarget(2),
+                                                  MakeTarget(3, false)};
+    int remote = 0;
+    for (int i = 0; i < 30; ++i) {
+      const std::uint64_t target = Open(targets, 3);
+      m_placement.OnOpened(target, true, m_now);
+      m_placement.OnRequest(target);
+      remote += target == 3 ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(remote >= 8);
+  }
+
   void NobodyLeftHere() {
     auto flows = OpenMany({MakeTarget(1, false), MakeTarget(2, false)}, 100);
     CPPUNIT_ASSERT(flows[1] >= 49 && flows[1] <= 51);
@@ -170,7 +254,7 @@
     // Told once, and over with the first answer.
     CPPUNIT_ASSERT(!m_placement.OnRepeat(1, sent, m_now));
     m_placement.OnRequest(1);
-    m_placement.OnAnswer(1, true, m_now);
+    m_placement.OnAnswer(1, m_now, m_now);
     CPPUNIT_ASSERT(!m_placement.IsLost(1));
   }
 
@@ -181,7 +265,7 @@
     m_now += milliseconds(200);
     CPPUNIT_ASSERT(!m_placement.OnRepeat(1, sent, m_now));
     m_placement.OnRequest(1);
-    m_placement.OnAnswer(1, true, m_now);
+    m_placement.OnAnswer(1, m_now, m_now);
     m_now += milliseconds(400);
     CPPUNIT_ASSERT(!m_placement.OnRepeat(1, sent, m_now));
     CPPUNIT_ASSERT(!m_placement.IsLost(1));
@@ -199,7 +283,7 @@
       m_now += milliseconds(200);
       const TimePoint asked = m_now - milliseconds(190);
       m_placement.OnRequest(1);
-      m_placement.OnAnswer(1, true, m_now - milliseconds(20));
+      m_placement.OnAnswer(1, asked, m_now - milliseconds(20));
       CPPUNIT_ASSERT(!m_placement.OnRepeat(1, asked, m_now));
     }
   }
--- a/tests/target_feed_test.cc
+++ b/tests/target_feed_test.cc
@@ -38,6 +38,9 @@
   CPPUNIT_TEST(LearnedNewsIsNotPushed);
   CPPUNIT_TEST(ThousandsOfTargetsComeInParts);
   CPPUNIT_TEST(IdleReportsDoNotGrowWithTargets);
+  CPPUNIT_TEST(ASubscriberThatDoesNotAnswerIsToldMoreSeldom);
+  CPPUNIT_TEST(ManySubscribersShareThePace);
+  CPPUNIT_TEST(ATargetThatMovesIsNotPushed);
   CPPUNIT_TEST(ControlsThatFollowAreNamed);
   CPPUNIT_TEST(AnInvitationCarriesNoTargets);
   CPPUNIT_TEST(CoveredTimeStandsWhileControlsAreSilent);
@@ -241,6 +244,56 @@
     }
   }
 
+  // Or a control VM that is behind drowns in its own repeats.
+  void ASubscriberThatDoesNotAnswerIsToldMoreSeldom() {
+    SetRoutes(1);
+    Run(kSecond);
+    m_is_deaf = true;
+    Hear(NodeId{1}, 5, 1, AnnouncedState::kReady);
+    const std::size_t before = m_reports;
+    Run(4 * kSecond);
+    // Three control VMs' reports of silence, and five repeats.
+    CPPUNIT_ASSERT(m_reports - before <= 3 * 8 + 5);
+    m_is_deaf = false;
+    Run(2 * kSecond);
+    CPPUNIT_ASSERT(m_directory.Find(5) != nullptr);
+  }
+
+  // The load of a start: all targets announce themselves within a second.
+  void ManySubscribersShareThePace() {
+    StartControl(NodeId{4});
+    FeedPublisher& publisher = *m_controls[4].publisher;
+    FeedPoll poll;
+    std::size_t reports = 0;
+    for (std::uint32_t node = 1000; node < 1300; ++node) {
+      publisher.OnMessage(NodeId{node}, poll.Encode(), m_now);
+    }
+    for (std::uint64_t number = 1; number <= 100; ++number) {
+      m_now += milliseconds(10);
+      Hear(NodeId{4}, number, 1, AnnouncedState::kReady);
+      reports += publisher.OnTick(m_now).size();
+    }
+    // A second's worth, and one round more.
+    CPPUNIT_ASSERT(reports <= 1000 / 0.7 + 300);
+  }
+
+  void ATargetThatMovesIsNotPushed() {
+    SetRoutes(1);
+    for (std::uint64_t number = 1; number <= 40; ++number) {
+      Hear(NodeId{1}, number, 1, AnnouncedState::kReady);
+      Learn(NodeId{2}, number);
+    }
+    Run(11 * kSecond);
+    const std::size_t before = m_reports;
+    for (std::uint64_t number = 1; number <= 40; ++number) {
+      Hear(NodeId{2}, number, 2, AnnouncedState::kReady);
+      Run(milliseconds(50));
+    }
+    CPPUNIT_ASSERT(m_reports - before <= 14);
+    Run(kSecond);
+    CPPUNIT_ASSERT(Unheard(40) <= milliseconds(2000));
+  }
+
   // A control VM that does not vote is known through those that do.
   void ControlsThatFollowAreNamed() {
     SetRoutes(1);
@@ -269,14 +322,14 @@
     const auto message = DecodeFeedMessage(invitation[0].body);
     CPPUNIT_ASSERT(message.has_value());
     const auto* report = std::get_if<FeedReport>(&*message);
-    CPPUNIT_ASSERT(report != nullptr && report->changed.empty());
+    CPPUNIT_ASSERT(report != nullptr && CountOf(*report) == 0);
     const Outbox reports =
         publisher.OnMessage(NodeId{50}, FeedPoll{}.Encode(), m_now);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports.size());
     const auto answer = DecodeFeedMessage(reports[0].body);
     CPPUNIT_ASSERT(answer.has_value());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                         std::get<FeedReport>(*answer).changed.size());
+                         CountOf(std::get<FeedReport>(*answer)));
   }
 
   // So that silent control VMs are not taken for silent targets.
@@ -323,12 +376,14 @@
     Hear(NodeId{1}, 5, 1, AnnouncedState::kReady);
     Run(kSecond);
     FeedReport report;
-    report.changed.push_back({m_directory.Find(5)->news, kSecond, true});
+    report.changed =
+        EncodeTargets({{m_directory.Find(5)->news, kSecond, true}});
     report.silence = SilenceReport{kSecond, {{7, 2 * kSecond}}};
     const Bytes whole = report.Encode();
     for (std::size_t size = 0; size < whole.size(); ++size) {
       CPPUNIT_ASSERT(!DecodeFeedMessage(ByteView(whole.data(), size)));
     }
+    CPPUNIT_ASSERT(!DecodeTargets(Bytes{1, 2, 3}));
     m_follower->OnMessage(NodeId{1}, Bytes{1, 2, 3}, m_now);
     m_follower->OnMessage(NodeId{1}, FeedRoutes{{9, 9}}.Encode(), m_now);
     CPPUNIT_ASSERT_EQUAL(2, m_errors);
@@ -376,15 +431,22 @@
   }
   void Hear(NodeId id, std::uint64_t number, std::uint64_t sequence,
             AnnouncedState state) {
-    m_controls[id.value].directory.Take(MakeNews(number, sequence, state),
-                                        m_now);
-    m_controls[id.value].publisher->OnHeard(number, m_now);
+    Control& control = m_controls[id.value];
+    const NewsEffect effect =
+        control.directory.Take(MakeNews(number, sequence, state), m_now);
+    control.publisher->OnHeard(number, effect == NewsEffect::kChanged, m_now);
   }
   void Learn(NodeId id, std::uint64_t number) {
     m_controls[id.value].directory.Take(
         MakeNews(number, 1, AnnouncedState::kReady), m_now);
   }
 
+  static std::size_t CountOf(const FeedReport& report) {
+    const auto targets = DecodeTargets(*report.changed);
+    CPPUNIT_ASSERT(targets.has_value());
+    return targets->size();
+  }
+
   Duration Unheard(std::uint64_t number) const {
     return m_follower->CoveredTime() - m_directory.Find(number)->heard_at;
   }
@@ -409,6 +471,7 @@
       return Send(kBalancer, m_follower->OnMessage(flight.from,
                                                    flight.message.body, m_now));
     }
+    if (m_is_deaf) return;
     Control& control = m_controls[flight.message.to.value];
     Send(flight.message.to,
          control.publisher->OnMessage(flight.from, flight.message.body, m_now));
@@ -433,6 +496,7 @@
   std::mt19937_64 m_random{3};
   std::uint64_t m_loss = 0;  // Percent.
   std::set<NodeId> m_down;
+  bool m_is_deaf = false;  // Polls get lost.
   std::vector<NodeId> m_members = {NodeId{1}, NodeId{2}, NodeId{3}};
   std::map<std::uint32_t, Control> m_controls;
   std::multimap<TimePoint, InFlight> m_in_flight;
