--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -15,11 +15,12 @@
 #include <string>
 #include <unordered_map>
 
+#include "sardinelead/feed_follower.h"
+#include "sardinelead/feed_publisher.h"
 #include "sardinelead/journal.h"
 #include "sardinelead/replica.h"
 #include "sardinelead/route_table.h"
 #include "sardinelead/target_directory.h"
-#include "sardinelead/target_feed.h"
 
 namespace sardinelead {
 
--- a/src/feed_follower.cc
+++ b/src/feed_follower.cc
@@ -1,9 +1,10 @@
+#include "sardinelead/feed_follower.h"
+
 #include <algorithm>
 #include <unordered_map>
 #include <utility>
 
 #include "feed_message.h"
-#include "sardinelead/target_feed.h"
 
 namespace sardinelead {
 namespace {
--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -1,8 +1,9 @@
+#include "sardinelead/feed_publisher.h"
+
 #include <algorithm>
 #include <utility>
 
 #include "feed_message.h"
-#include "sardinelead/target_feed.h"
 
 namespace sardinelead {
 namespace {
--- a/src/status_page.h
+++ b/src/status_page.h
@@ -9,7 +9,7 @@
 
 #include "control_plane.h"
 #include "sardinelead/cookie_balancer.h"
-#include "sardinelead/target_feed.h"
+#include "sardinelead/feed_follower.h"
 
 namespace sardinelead {
 
--- a/tests/target_feed_test.cc
+++ b/tests/target_feed_test.cc
@@ -10,6 +10,8 @@
 #include <set>
 
 #include "feed_message.h"
+#include "sardinelead/feed_follower.h"
+#include "sardinelead/feed_publisher.h"
 
 namespace sardinelead {
 namespace {
