--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -36,7 +36,9 @@
   const bool is_known = subscriber.has_polled && poll->epoch == m_epoch;
   const bool has_advanced =
       is_known && poll->revision > subscriber.acknowledged;
+  if (!is_known) subscriber = Subscriber{};
   subscriber.has_polled = true;
+  subscriber.repeats = 0;
   subscriber.data_centre = poll->data_centre;
   subscriber.wants_all = poll->wants_all;
   subscriber.is_control = poll->is_control;
@@ -55,10 +57,6 @@
   const bool has_next =
       has_advanced && subscriber.acknowledged < GoalOf(subscriber);
   if (is_known && !has_next) return out;
-  if (!is_known) {
-    subscriber.silence_at = TimePoint{};
-    subscriber.members_at = TimePoint{};
-  }
   const Outbox reports = ReportTo(from, &subscriber, now);
   out.insert(out.end(), reports.begin(), reports.end());
   return out;
--- a/tests/target_feed_test.cc
+++ b/tests/target_feed_test.cc
@@ -256,9 +256,12 @@
     Run(4 * kSecond);
     // Three control VMs' reports of silence, and five repeats.
     CPPUNIT_ASSERT(m_reports - before <= 3 * 8 + 5);
+    // Told at once when it is heard again: its polls come every second.
     m_is_deaf = false;
-    Run(2 * kSecond);
-    CPPUNIT_ASSERT(m_directory.Find(5) != nullptr);
+    Hear(NodeId{1}, 5, 2, AnnouncedState::kDraining);
+    Run(kSecond + milliseconds(300));
+    CPPUNIT_ASSERT(m_directory.Find(5)->news.state ==
+                   AnnouncedState::kDraining);
   }
 
   // The load of a start: all targets announce themselves within a second.
