A target that answers nothing does not look idle

Cause: requests without a word for 1.2 s are no load any more, so a target that takes requests and answers none would look idle and draw new flows. Change: the share of its last requests that had no answer, which fades over 5 s, weighs against a target.

--- a/include/sardinelead/flow_placement.h
+++ b/include/sardinelead/flow_placement.h
@@ -8,9 +8,10 @@
 //
 // The loads that it answers, each with a test in tests/flow_placement_test.cc:
 // even flows over targets and slots; targets that turn slow; a target that just
-// started; one that ended without a word; more work in the data centre than its
-// targets' slots; nobody left there; every target silent at once, as when the
-// balancer itself is cut off.
+// started; one that ended without a word; one that takes requests and answers
+// none; chance that looks like a full data centre; more work in the data centre
+// than its targets' slots; nobody left there; every target silent at once, as
+// when the balancer itself is cut off.
 //
 // No I/O and no clock; not for several threads. Cost of a choice: one pass over
 // the pool's targets.
@@ -46,6 +47,10 @@
   Duration busy_memory = std::chrono::seconds(1);
   // Speed of a target in its warm-up relative to a warm one.
   double cold_speed = 0.6;
+  // Weight of one request in the share of those without an answer, and how long
+  // that share is held against a target.
+  double unanswered_weight = 0.1;
+  Duration unanswered_memory = std::chrono::seconds(5);
   // How many open flows a waiting one counts for.
   double waiting_weight = 4.0;
 };
@@ -68,6 +73,9 @@
   // through another balancer.
   double busy = 0;
   TimePoint busy_at;
+  // Share of the last requests that had no answer, as of `unanswered_at`.
+  double unanswered = 0;
+  TimePoint unanswered_at;
   // When the oldest opening packet was sent that nothing answered since.
   std::optional<TimePoint> unanswered_since;
   std::optional<TimePoint> tried_at;  // While it answers nothing.
@@ -97,8 +105,10 @@
   void OnRequest(std::uint64_t target);
   // The target answered a request that was sent at `sent_at`.
   void OnAnswer(std::uint64_t target, TimePoint sent_at, TimePoint now);
-  // A request is not under way here any more.
+  // A request is not under way here any more: its flow ended.
   void OnRequestEnded(std::uint64_t target);
+  // A request had no answer for so long that none will come, or not this way.
+  void OnUnanswered(std::uint64_t target, TimePoint now);
   // A request sent at `sent_at` was repeated. Whether that shows that the
   // target is lost, which is told once.
   bool OnRepeat(std::uint64_t target, TimePoint sent_at, TimePoint now);
@@ -112,7 +122,8 @@
  private:
   static void NoteAnswer(TargetView* view, TimePoint now);
   double BusyAt(const TargetView& view, TimePoint now) const;
-  double Score(const PlacementTarget& target) const;
+  double Score(const PlacementTarget& target, TimePoint now) const;
+  double UnansweredAt(const TargetView& view, TimePoint now) const;
   static double ExpectedBusy(double mean, double waiting);
   bool IsSpilled(double load, std::uint64_t random) const;
 
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -450,7 +450,7 @@
     if (!flow.is_waiting || quiet <= m_settings.request_memory) continue;
     // Routers send all flows elsewhere when a balancer comes or goes: what was
     // under way here must not count as load for as long as the record.
-    m_placement.OnRequestEnded(flow.target);
+    m_placement.OnUnanswered(flow.target, now);
     flow.is_waiting = false;
     flow.is_repeating = false;
   }
--- a/src/flow_placement.cc
+++ b/src/flow_placement.cc
@@ -7,6 +7,8 @@
 namespace sardinelead {
 namespace {
 
+// So that a busy pool still tries the target.
+constexpr double kMaxUnanswered = 0.9;
 // Standard deviations that a count of requests lies above its mean by chance.
 constexpr double kSureDeviations = 2.5;
 
@@ -69,16 +71,16 @@
         view.tried_at = now;
         return target.number;
       }
-      suspect.Offer(target.number, Score(target));
+      suspect.Offer(target.number, Score(target, now));
       continue;
     }
     if (target.is_local) {
       local_busy += BusyAt(view, now);
       local_waiting += view.waiting;
       local_slots += target.slots;
-      local.Offer(target.number, Score(target));
+      local.Offer(target.number, Score(target, now));
     } else {
-      remote.Offer(target.number, Score(target));
+      remote.Offer(target.number, Score(target, now));
     }
   }
   if (!local.number() || !remote.number()) {
@@ -106,13 +108,16 @@
   return lot < std::min(share, kMaxSpilled);
 }
 
-double FlowPlacement::Score(const PlacementTarget& target) const {
+double FlowPlacement::Score(const PlacementTarget& target,
+                            TimePoint now) const {
   const auto found = m_views.find(target.number);
   const TargetView view = found == m_views.end() ? TargetView{} : found->second;
   const double speed = target.is_cold ? m_settings.cold_speed : 1.0;
   const double flows =
       view.open + view.opening + m_settings.waiting_weight * view.waiting + 1.0;
-  return flows / (target.slots * speed);
+  // One that answers few requests has few under way, and must not look idle.
+  const double answered = 1 - std::min(UnansweredAt(view, now), kMaxUnanswered);
+  return flows / (target.slots * speed * answered * answered);
 }
 
 bool FlowPlacement::IsSuspect(std::uint64_t target, TimePoint now) const {
@@ -165,9 +170,25 @@
   const std::chrono::duration<double> memory = m_settings.busy_memory;
   view.busy = BusyAt(view, now) + length / memory;
   view.busy_at = now;
+  view.unanswered -= view.unanswered * m_settings.unanswered_weight;
   NoteAnswer(&view, now);
 }
 
+double FlowPlacement::UnansweredAt(const TargetView& view,
+                                   TimePoint now) const {
+  const std::chrono::duration<double> age = now - view.unanswered_at;
+  const std::chrono::duration<double> memory = m_settings.unanswered_memory;
+  return view.unanswered * std::exp(-age / memory);
+}
+
+void FlowPlacement::OnUnanswered(std::uint64_t target, TimePoint now) {
+  TargetView& view = m_views[target];
+  Decrease(&view.waiting);
+  const double before = UnansweredAt(view, now);
+  view.unanswered = before + (1 - before) * m_settings.unanswered_weight;
+  view.unanswered_at = now;
+}
+
 void FlowPlacement::OnRequestEnded(std::uint64_t target) {
   Decrease(&m_views[target].waiting);
 }
--- a/tests/flow_placement_test.cc
+++ b/tests/flow_placement_test.cc
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <deque>
 #include <map>
 #include <random>
 
@@ -32,6 +33,8 @@
   CPPUNIT_TEST(ABurstSpillsBeforeItsFirstAnswers);
   CPPUNIT_TEST(NobodyLeftHere);
   CPPUNIT_TEST(SlowTargetsGetLess);
+  CPPUNIT_TEST(ATargetThatAnswersNothingDoesNotLookIdle);
+  CPPUNIT_TEST(ATargetThatAnswersAgainGetsItsShare);
   CPPUNIT_TEST(ColdTargetGetsLess);
   CPPUNIT_TEST(TargetThatEndedWithoutAWordIsAvoided);
   CPPUNIT_TEST(SuspectIsTriedNowAndThen);
@@ -197,6 +200,52 @@
     CPPUNIT_ASSERT_EQUAL(0, flows[1]);
   }
 
+  // Target 1 takes requests and answers none, while its health check is good;
+  // its callers give up and open new flows. It gets less than half of its
+  // share.
+  void ATargetThatAnswersNothingDoesNotLookIdle() {
+    CPPUNIT_ASSERT(ShareOfFirst(300, false) < 300 / 3 / 2);
+  }
+
+  void ATargetThatAnswersAgainGetsItsShare() {
+    ShareOfFirst(300, false);
+    ShareOfFirst(300, true);
+    const int share = ShareOfFirst(300, true);
+    CPPUNIT_ASSERT(share >= 80 && share <= 120);
+  }
+
+  // Of `count` flows with a request each, a new one every 20 ms, over three
+  // targets, those that target 1 gets. A request takes 200 ms.
+  int ShareOfFirst(int count, bool answers) {
+    constexpr std::size_t kUnderWay = 10;
+    const std::vector<PlacementTarget> targets = {MakeTarget(1), MakeTarget(2),
+                                                  MakeTarget(3)};
+    std::deque<std::uint64_t> under_way;
+    int share = 0;
+    for (int i = 0; i < count; ++i) {
+      m_now += milliseconds(20);
+      const std::uint64_t target = Open(targets);
+      m_placement.OnOpened(target, true, m_now);
+      m_placement.OnRequest(target);
+      under_way.push_back(target);
+      share += target == 1 ? 1 : 0;
+      if (under_way.size() > kUnderWay) {
+        End(under_way.front(), answers);
+        under_way.pop_front();
+      }
+    }
+    for (const std::uint64_t target : under_way) End(target, answers);
+    return share;
+  }
+  void End(std::uint64_t target, bool answers) {
+    if (target == 1 && !answers) {
+      m_placement.OnUnanswered(target, m_now);
+    } else {
+      m_placement.OnAnswer(target, m_now - milliseconds(200), m_now);
+    }
+    m_placement.OnClosed(target);
+  }
+
   void ColdTargetGetsLess() {
     auto flows = OpenMany({MakeTarget(1), MakeTarget(2, true, 3, true)}, 160);
     CPPUNIT_ASSERT(flows[2] >= 58 && flows[2] <= 62);
