Feed: news goes out in rounds, encoded once for all balancers

Cause: at 300 machines each heartbeat of a new target visited all subscribers and made each report anew, so that 3,000 targets starting at once kept the control VMs from answering; targets moved on, which was news again. Change: news goes to all subscribers in one round, at most every 0.7 ms a subscriber; a heartbeat only marks it.

--- a/include/sardinelead/feed_publisher.h
+++ b/include/sardinelead/feed_publisher.h
@@ -43,8 +43,8 @@
   // The target called this control VM; the directory has what it said, and
   // `is_changed` where balancers act on that.
   void OnHeard(std::uint64_t target, bool is_changed, TimePoint now);
-  // Reports that are due. To be called after each change, at once, and every
-  // 50 ms.
+  // Reports that are due. To be called every 20 ms, and at once after a change
+  // of the routes.
   Outbox OnTick(TimePoint now);
 
   // Makes itself known to a node that followed an earlier start of this
@@ -87,7 +87,8 @@
   };
 
   Outbox ReportTo(NodeId id, Subscriber* subscriber, TimePoint now);
-  bool IsDue(const Subscriber& subscriber, ConfigVersion version,
+  // `is_round` where news may go out now.
+  bool IsDue(const Subscriber& subscriber, ConfigVersion version, bool is_round,
              TimePoint now) const;
   Duration ReportGap() const;
   // The revision that the subscriber should have.
@@ -129,6 +130,7 @@
   std::vector<NodeId> m_members;
   TimePoint m_members_changed_at;
   TimePoint m_dropped_at;
+  TimePoint m_round_at;  // When news went out last.
   // Subscribers mostly have the same: by what they have, and whether they want
   // all. Until the next change, and for one tick.
   std::map<std::pair<std::uint64_t, bool>, Changes> m_changes_made;
--- a/include/sardinelead/target_feed.h
+++ b/include/sardinelead/target_feed.h
@@ -34,9 +34,9 @@
   Duration poll_interval = std::chrono::seconds(1);
   Duration report_interval = std::chrono::milliseconds(500);
   Duration repeat_interval = std::chrono::milliseconds(150);
-  // Between two reports to one subscriber, so that changes that come together
-  // share one: `report_gap`, and longer with many subscribers, so that one
-  // publisher sends at most one in `report_spacing`, but not above
+  // Between two rounds of news to all subscribers, so that changes that come
+  // together share one: `report_gap`, and longer with many subscribers, so that
+  // one publisher sends at most a report in `report_spacing`, but not above
   // `max_report_gap`.
   Duration report_gap = std::chrono::milliseconds(40);
   Duration report_spacing = std::chrono::microseconds(700);
--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -199,11 +199,9 @@
 
 NewsEffect ControlPlane::Take(const TargetNews& news, TimePoint now) {
   const NewsEffect effect = m_directory.Take(news, now);
-  const bool is_changed = effect == NewsEffect::kChanged;
-  if (effect != NewsEffect::kStale) {
-    m_publisher.OnHeard(news.number, is_changed, now);
-  }
-  if (is_changed) m_hooks.send(m_publisher.OnTick(now));
+  if (effect == NewsEffect::kStale) return effect;
+  // Told with the next tick, together with what else comes until then.
+  m_publisher.OnHeard(news.number, effect == NewsEffect::kChanged, now);
   return effect;
 }
 
--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -156,20 +156,17 @@
 }
 
 bool FeedPublisher::IsDue(const Subscriber& subscriber, ConfigVersion version,
-                          TimePoint now) const {
-  const Duration since = now - subscriber.reported_at;
-  const Duration gap = ReportGap();
-  if (since < gap) return false;
+                          bool is_round, TimePoint now) const {
   if (now - subscriber.silence_at >= m_settings.report_interval) return true;
   const bool has_urgent = subscriber.sent_revision < m_urgent_revision ||
                           subscriber.sent_version < version;
   const bool is_in_flight =
       !subscriber.has_polled ||
       subscriber.acknowledged < subscriber.awaited_revision;
-  if (has_urgent && !is_in_flight) return true;
+  if (has_urgent && !is_in_flight) return is_round;
   if (!is_in_flight && !(subscriber.version < version)) return false;
-  const Duration repeat = std::max(m_settings.repeat_interval, gap);
-  return since >= repeat * (1U << subscriber.repeats);
+  const Duration repeat = std::max(m_settings.repeat_interval, ReportGap());
+  return now - subscriber.reported_at >= repeat * (1U << subscriber.repeats);
 }
 
 Outbox FeedPublisher::OnTick(TimePoint now) {
@@ -179,6 +176,9 @@
   m_changes_made.clear();
   Outbox out;
   const ConfigVersion version = m_hooks.routes().version;
+  // All get the same changes at the same time, so that they are encoded once.
+  const bool is_round = now - m_round_at >= ReportGap();
+  if (is_round) m_round_at = now;
   for (auto it = m_subscribers.begin(); it != m_subscribers.end();) {
     Subscriber& subscriber = it->second;
     if (now - subscriber.polled_at > m_settings.subscription) {
@@ -187,7 +187,7 @@
     }
     const NodeId id = it->first;
     ++it;
-    if (!IsDue(subscriber, version, now)) continue;
+    if (!IsDue(subscriber, version, is_round, now)) continue;
     Outbox reports = ReportTo(id, &subscriber, now);
     std::move(reports.begin(), reports.end(), std::back_inserter(out));
   }
