--- a/tests/flow_placement_test.cc
+++ b/tests/flow_placement_test.cc
@@ -12,7 +12,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-constexpr Duration kSecond = std::chrono::seconds(1);
 
 PlacementTarget MakeTarget(std::uint64_t number, bool is_local = true,
                            std::uint32_t slots = 3, bool is_cold = false) {
