One piece of code for the clock, settings text, decay and reports

The platform's programs had their own SteadyNow (under the same external name as src/packet_loop.h's, a breach of the one-definition rule), an incarnation from the time of day as balancerd's, and whole milliseconds as two API files; a second reader of the settings file, which turned a read error into an empty text; asio endpoints made through text beside ToAsioUdp. FlowPlacement faded two means in two copies; FeedPublisher gave one report as a list of one and kept a number beside its cache that Touch() makes needless; src/status_page.cc knew that a VM's number is its address, which only platform/ may know; Name(FlowStep) was called by nobody. Change: src/clock.h, ReadSettingsText, Faded; the status page is told addresses by a hook; the rest removed.

--- a/bench/path_forward_bench.cc
+++ b/bench/path_forward_bench.cc
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "bench.h"
+#include "clock.h"
 #include "forward_batch.h"
 #include "path_fixture.h"
 #include "udp_batch.h"
--- a/daemons/balancerd.cc
+++ b/daemons/balancerd.cc
@@ -18,6 +18,7 @@
 
 #include "balancer_node.h"
 #include "balancer_settings.h"
+#include "clock.h"
 #include "sardinelead/access.h"
 #include "sardinelead/control_link.h"
 #include "sardinelead/log.h"
@@ -66,14 +67,6 @@
   return out;
 }
 
-// Later starts have greater ones as long as the clock does not go back.
-Incarnation MakeIncarnation() {
-  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  return Incarnation{static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
-          .count())};
-}
-
 void HandleSignals(asio::signal_set* signals, BalancerNode* node) {
   signals->async_wait(
       [signals, node](const asio::error_code& error, int number) {
@@ -92,7 +85,7 @@
   asio::io_context context{1};
   Blackboard blackboard;
   BalancerNode node(&context, &blackboard, start.settings, start.shared_key,
-                    start.access, MakeIncarnation());
+                    start.access, ClockIncarnation());
   asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
   HandleSignals(&signals, &node);
   const auto started = node.Start();
--- a/daemons/sardinectl.cc
+++ b/daemons/sardinectl.cc
@@ -8,6 +8,7 @@
 #include <thread>
 #include <vector>
 
+#include "clock.h"
 #include "ctl_commands.h"
 #include "operator_client.h"
 #include "sardinelead/settings.h"
@@ -86,9 +87,7 @@
 OperatorClientHooks RealHooks() {
   OperatorClientHooks hooks;
   hooks.call = CallHttp;
-  hooks.now = [] {
-    return TimePoint(std::chrono::steady_clock::now().time_since_epoch());
-  };
+  hooks.now = SteadyNow;
   hooks.sleep = [](Duration pause) { std::this_thread::sleep_for(pause); };
   return hooks;
 }
--- a/demo/demo_operators.cc
+++ b/demo/demo_operators.cc
@@ -19,6 +19,7 @@
 #include <thread>
 #include <vector>
 
+#include "clock.h"
 #include "demo_traffic.h"
 #include "operator_client.h"
 
@@ -40,10 +41,6 @@
 volatile std::sig_atomic_t g_stop = 0;
 void OnSignal(int) { g_stop = 1; }
 
-TimePoint Now() {
-  return TimePoint(std::chrono::steady_clock::now().time_since_epoch());
-}
-
 struct Told {
   SubmitOutcome outcome = SubmitOutcome::kUnknown;
   std::uint64_t version = 0;
@@ -109,7 +106,7 @@
   settings.call_deadline = std::chrono::milliseconds(1500);
   OperatorClientHooks hooks;
   hooks.call = CallHttp;
-  hooks.now = Now;
+  hooks.now = SteadyNow;
   hooks.sleep = [](Duration pause) { std::this_thread::sleep_for(pause); };
   return {settings, hooks};
 }
@@ -198,8 +195,8 @@
 
 // The one history of all control VMs, once they agree.
 std::optional<History> Settle(const std::vector<Endpoint>& control) {
-  const TimePoint end = Now() + std::chrono::seconds(FLAGS_settle_s);
-  while (Now() < end) {
+  const TimePoint end = SteadyNow() + std::chrono::seconds(FLAGS_settle_s);
+  while (SteadyNow() < end) {
     std::set<History> histories;
     for (const Endpoint& node : control) {
       const auto history = ReadHistory(node);
--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -112,7 +112,6 @@
   kOpening,  // From the opening packet to the caller's next one.
   kAnswer,   // From a request to the caller's first word on its answer.
 };
-const char* Name(FlowStep step);
 
 struct FlowTiming {
   FlowStep step = FlowStep::kOpening;
--- a/include/sardinelead/feed_publisher.h
+++ b/include/sardinelead/feed_publisher.h
@@ -86,7 +86,7 @@
     TimePoint heard_at;
   };
 
-  Outbox ReportTo(NodeId id, Subscriber* subscriber, TimePoint now);
+  OutgoingMessage ReportTo(NodeId id, Subscriber* subscriber, TimePoint now);
   // `is_round` where news may go out now.
   bool IsDue(const Subscriber& subscriber, ConfigVersion version, bool is_round,
              TimePoint now) const;
@@ -134,7 +134,6 @@
   // Subscribers mostly have the same: by what they have, and whether they want
   // all. Until the next change, and for one tick.
   std::map<std::pair<std::uint64_t, bool>, Changes> m_changes_made;
-  std::uint64_t m_changes_made_for = 0;  // m_revision.
 };
 
 }  // namespace sardinelead
--- a/soak/actors.cc
+++ b/soak/actors.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "big_endian.h"
+#include "clock.h"
 #include "services.h"
 #include "wire.h"
 
@@ -104,7 +105,7 @@
       flow.sequence = static_cast<std::uint32_t>(m_random());
       flow.next = packet.sequence + 1;
       m_world->ledger.OnOpened(m_number, m_pool, packet.destination, edge,
-                               Now());
+                               SteadyNow());
     }
     reply.flags = kOpen | kAcknowledge;
     reply.sequence = flow.sequence;
@@ -173,10 +174,10 @@
     Sleep(is_done ? kHeartbeat : milliseconds(50));
   }
   TimePoint drained;
-  while (!m_is_down && (drained == TimePoint{} || Now() < drained)) {
+  while (!m_is_down && (drained == TimePoint{} || SteadyNow() < drained)) {
     const bool is_done = Say("/heartbeat", "draining");
     if (is_done && drained == TimePoint{}) {
-      drained = Now() + kDrain + milliseconds(500);
+      drained = SteadyNow() + kDrain + milliseconds(500);
     }
     Sleep(is_done ? kHeartbeat : milliseconds(50));
   }
--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -6,6 +6,7 @@
 
 #include "actors.h"
 #include "big_endian.h"
+#include "clock.h"
 #include "services.h"
 #include "wire.h"
 
@@ -30,7 +31,7 @@
 
   bool Open() {
     Packet syn = Make(kOpen);
-    const TimePoint begin = Now();
+    const TimePoint begin = SteadyNow();
     const Duration copies[] = {Duration{0}, milliseconds(200),
                                milliseconds(600)};
     for (std::uint32_t copy = 0; copy < 3; ++copy) {
@@ -57,20 +58,20 @@
     packet.data.resize(9);
     StoreBig(request, packet.data.data());
     packet.data[8] = MayRepeat(m_service) ? 1 : 0;
-    const TimePoint begin = Now();
+    const TimePoint begin = SteadyNow();
     const TimePoint end = begin + kRequestDeadline;
-    for (Duration wait = milliseconds(200); Now() < end && !m_world->is_over;
-         wait *= 2) {
+    for (Duration wait = milliseconds(200);
+         SteadyNow() < end && !m_world->is_over; wait *= 2) {
       packet.cookie = m_cookie;
       Send(packet);
       const auto answer =
-          Wait(std::min(Now() + wait, end), kAcknowledge,
+          Wait(std::min(SteadyNow() + wait, end), kAcknowledge,
                m_sequence + static_cast<std::uint32_t>(packet.data.size()));
       if (m_is_reset) return false;
       if (!answer) continue;
       m_sequence += static_cast<std::uint32_t>(packet.data.size());
       m_acknowledged += static_cast<std::uint32_t>(answer->data.size());
-      Check(request, *answer, Now() - begin > milliseconds(500));
+      Check(request, *answer, SteadyNow() - begin > milliseconds(500));
       Packet acknowledge = Make(kAcknowledge);
       Send(acknowledge);
       return true;
@@ -117,10 +118,10 @@
   // with data unless it opens the flow.
   std::optional<Packet> Wait(TimePoint until, std::uint8_t flag,
                              std::uint32_t acknowledged) {
-    while (Now() < until && !m_world->is_over) {
+    while (SteadyNow() < until && !m_world->is_over) {
       Endpoint source;
       const auto bytes = m_socket->Receive(
-          std::min<Duration>(until - Now(), milliseconds(20)), &source);
+          std::min<Duration>(until - SteadyNow(), milliseconds(20)), &source);
       if (!bytes) continue;
       bool is_whole = false;
       auto packet = Packet::Decode(*bytes, &is_whole);
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -10,10 +10,6 @@
 
 }  // namespace
 
-TimePoint Now() {
-  return TimePoint(std::chrono::steady_clock::now().time_since_epoch());
-}
-
 void Ledger::Disturb(std::uint32_t node, bool is_control,
                      const std::string& how) {
   const std::lock_guard<std::mutex> lock(m_mutex);
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "clock.h"
 #include "sardinelead/types.h"
 
 namespace sardinelead::soak {
@@ -24,8 +25,6 @@
 constexpr Duration kConfigApply = std::chrono::seconds(3);
 constexpr Duration kDrain = std::chrono::seconds(3);
 
-TimePoint Now();
-
 class Ledger {
  public:
   // `node` is an IPv4 address in host order.
@@ -78,7 +77,7 @@
     TimePoint accepted_at;  // Zero where it was not.
   };
 
-  TimePoint Time() const { return Now() + m_skipped; }
+  TimePoint Time() const { return SteadyNow() + m_skipped; }
   bool IsInTouch(std::uint32_t node, TimePoint since) const;
   void BreakLocked(const std::string& what);
   // The newest version that must be in force everywhere at `at`; 0 for none.
@@ -92,7 +91,7 @@
   std::map<std::uint32_t, TimePoint> m_stopped_at;
   std::set<std::uint32_t> m_disturbed_now;
   Duration m_skipped{0};
-  TimePoint m_core_disturbed_at = Now();
+  TimePoint m_core_disturbed_at = SteadyNow();
   std::map<std::uint64_t, Config> m_configs;
   std::uint64_t m_newest_accepted = 0;
   // When a control process in touch acknowledged that they leave.
--- a/soak/operator.cc
+++ b/soak/operator.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "actors.h"
+#include "clock.h"
 #include "services.h"
 
 namespace sardinelead::soak {
@@ -41,8 +42,8 @@
                 std::mt19937_64* random) {
   const std::string text = ConfigText(version);
   world->ledger.OnSent(version, text, RoutesOf(version));
-  const TimePoint end = Now() + limit;
-  while (Now() < end && !world->is_over) {
+  const TimePoint end = SteadyNow() + limit;
+  while (SteadyNow() < end && !world->is_over) {
     const std::uint32_t control =
         world->controls[(*random)() % world->controls.size()];
     const auto answer =
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "clock.h"
 #include "sardinelead/http_client.h"
 
 namespace sardinelead::soak {
@@ -171,7 +172,7 @@
 }
 
 void System::In(Duration delay, std::function<void()> action) {
-  m_later.push_back({Now() + delay, std::move(action)});
+  m_later.push_back({SteadyNow() + delay, std::move(action)});
 }
 
 // One disk may be lost at a time: the one lost before is made good only once
@@ -194,7 +195,7 @@
                           wipe ? "kill and wipe" : "kill");
   process->is_expected_to_end = true;
   process->child->Signal(SIGKILL);
-  process->start_at = Now() + DrawSpan(100, 2000);
+  process->start_at = SteadyNow() + DrawSpan(100, 2000);
   if (!wipe) return;
   const std::string data =
       m_settings.folder + "/" + process->child->name() + "/data";
@@ -209,7 +210,7 @@
   m_world->ledger.Stop(process->node, process->is_control);
   process->is_expected_to_end = true;
   process->child->Signal(SIGTERM);
-  process->start_at = Now() + std::chrono::seconds(7);
+  process->start_at = SteadyNow() + std::chrono::seconds(7);
 }
 
 void System::Freeze(Process* process) {
@@ -400,7 +401,7 @@
 }
 
 void System::Watch() {
-  const TimePoint now = Now();
+  const TimePoint now = SteadyNow();
   std::vector<Later> due;
   for (auto it = m_later.begin(); it != m_later.end();) {
     if (it->at > now) {
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -18,6 +18,7 @@
 #include <thread>
 #include <vector>
 
+#include "clock.h"
 #include "plan.h"
 #include "sardinelead/http_client.h"
 
@@ -45,13 +46,13 @@
 
 void RunFor(System* system, Duration span, bool disturb,
             std::mt19937_64* random) {
-  const TimePoint end = Now() + span;
-  TimePoint next = Now() + milliseconds(500);
-  while (Now() < end) {
+  const TimePoint end = SteadyNow() + span;
+  TimePoint next = SteadyNow() + milliseconds(500);
+  while (SteadyNow() < end) {
     system->Watch();
-    if (disturb && Now() >= next) {
+    if (disturb && SteadyNow() >= next) {
       system->Disturb();
-      next = Now() + milliseconds((*random)() % 2500);
+      next = SteadyNow() + milliseconds((*random)() % 2500);
     }
     std::this_thread::sleep_for(milliseconds(20));
   }
--- a/src/balancer_node.cc
+++ b/src/balancer_node.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "asio_endpoint.h"
+#include "clock.h"
 #include "derive_key.h"
 #include "forward_batch.h"
 #include "operator_api.h"
--- a/src/balancer_status.cc
+++ b/src/balancer_status.cc
@@ -4,17 +4,13 @@
 #include <utility>
 
 #include "balancer_node.h"
+#include "clock.h"
 
 namespace sardinelead {
 namespace {
 
 using nlohmann::json;
 
-std::int64_t ToMilliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 json ToJson(const PacketCounts& counts) {
   json received = json::object();
   for (std::size_t i = 0; i < counts.received.size(); ++i) {
@@ -49,17 +45,16 @@
   for (const NodeId vm : m_control_links.Peers()) {
     control_vms.push_back(vm.value);
   }
-  return {
-      {"role", "balancer"},
-      {"incarnation", m_balancer.options().incarnation.value},
-      {"leaving", m_balancer.is_leaving()},
-      {"handed_over", m_balancer.HandedOver()},
-      {"may_decide", view->MayDecide(now)},
-      {"incomplete_partitions", m_balancer.holdings().incomplete},
-      {"config_stale_ms", ToMilliseconds(m_balancer.config().Staleness(now))},
-      {"control_links", std::move(control_vms)},
-      {"flows", ToJson(m_balancer.flows())},
-      {"packets", ToJson(m_balancer.packets())}};
+  return {{"role", "balancer"},
+          {"incarnation", m_balancer.options().incarnation.value},
+          {"leaving", m_balancer.is_leaving()},
+          {"handed_over", m_balancer.HandedOver()},
+          {"may_decide", view->MayDecide(now)},
+          {"incomplete_partitions", m_balancer.holdings().incomplete},
+          {"config_stale_ms", Milliseconds(m_balancer.config().Staleness(now))},
+          {"control_links", std::move(control_vms)},
+          {"flows", ToJson(m_balancer.flows())},
+          {"packets", ToJson(m_balancer.packets())}};
 }
 
 void BalancerNode::PublishTransport() {
--- a/src/control_api.cc
+++ b/src/control_api.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <utility>
 
+#include "clock.h"
+
 namespace sardinelead {
 namespace {
 
@@ -18,11 +20,6 @@
 constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 std::optional<std::uint64_t> ParseNumber(const std::string& text) {
   std::uint64_t number = 0;
   const char* end = text.data() + text.size();
--- a/src/control_node.cc
+++ b/src/control_node.cc
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "clock.h"
 #include "sardinelead/journal.h"
 #include "sardinelead/log.h"
 
@@ -17,10 +18,6 @@
 constexpr int kTicksPerMetrics = 100;
 constexpr char kModule[] = "control";
 
-TimePoint Now() {
-  return TimePoint(std::chrono::steady_clock::now().time_since_epoch());
-}
-
 std::function<std::uint64_t()> MakeRandom() {
   return [generator = std::mt19937_64(std::random_device{}())]() mutable {
     return generator();
@@ -44,9 +41,9 @@
   }
   settings.replica.bootstrap = true;
   Replica replica(settings.replica, &journal, {MakeRandom()});
-  const auto started = replica.Start(Now());
+  const auto started = replica.Start(SteadyNow());
   if (!started) return tl::unexpected(started.error());
-  if (replica.NeedsSync()) replica.Sync(Now());
+  if (replica.NeedsSync()) replica.Sync(SteadyNow());
   if (journal.HasFailed()) return tl::unexpected(*journal.error());
   return {};
 }
@@ -62,7 +59,7 @@
         m_metrics(metrics) {}
 
   Result<Endpoint> Start() {
-    auto output = m_replica.Start(Now());
+    auto output = m_replica.Start(SteadyNow());
     if (!output) return tl::unexpected(output.error());
     auto bound = m_links.Start();
     if (!bound) return bound;
@@ -91,14 +88,14 @@
     Run([this, name, change, on_outcome = std::move(on_outcome)] {
       const std::uint64_t id = ++m_last_request;
       m_pending[id] = on_outcome;
-      const TimePoint now = Now();
+      const TimePoint now = SteadyNow();
       Take(m_replica.Submit(id, name, change, now + m_settings.submit_deadline,
                             now));
     });
   }
 
   void Read(ReadReplica read) {
-    Run([this, read = std::move(read)] { read(m_replica, Now()); });
+    Run([this, read = std::move(read)] { read(m_replica, SteadyNow()); });
   }
 
   const ControlLinks& links() const { return m_links; }  // NOLINT
@@ -132,17 +129,17 @@
     m_sync_scheduled = true;
     asio::post(m_context, [this] {
       m_sync_scheduled = false;
-      if (m_replica.NeedsSync()) Take(m_replica.Sync(Now()));
-      m_links.Send(m_publisher.OnTick(Now()));
+      if (m_replica.NeedsSync()) Take(m_replica.Sync(SteadyNow()));
+      m_links.Send(m_publisher.OnTick(SteadyNow()));
     });
   }
 
   void OnMessage(NodeId from, MessageKind kind, const Bytes& body) {
     if (kind == MessageKind::kAgreement) {
-      return Take(m_replica.OnMessage(from, body, Now()));
+      return Take(m_replica.OnMessage(from, body, SteadyNow()));
     }
     if (kind == MessageKind::kConfigOffer) {
-      return m_links.Send(m_publisher.OnMessage(from, body, Now()));
+      return m_links.Send(m_publisher.OnMessage(from, body, SteadyNow()));
     }
     m_metrics->FindCounter("sardinelead_messages_misdirected_total", {})
         ->Add(1);
@@ -167,7 +164,7 @@
     m_timer.expires_after(kTick);
     m_timer.async_wait([this](asio::error_code error) {
       if (error) return;
-      Take(m_replica.OnTick(Now()));
+      Take(m_replica.OnTick(SteadyNow()));
       ScheduleSync();
       if (++m_ticks % kTicksPerMetrics == 0) SetMetrics();
       Schedule();
@@ -175,7 +172,7 @@
   }
 
   void SetMetrics() {
-    const ReplicaStatus status = m_replica.Status(Now());
+    const ReplicaStatus status = m_replica.Status(SteadyNow());
     const auto version = m_replica.configuration()->version;
     const auto set = [&](const char* name, double value) {
       m_metrics->FindGauge(name, {})->Set(value);
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -62,16 +62,6 @@
   return "unknown";
 }
 
-const char* Name(FlowStep step) {
-  switch (step) {
-    case FlowStep::kOpening:
-      return "opening";
-    case FlowStep::kAnswer:
-      return "answer";
-  }
-  return "unknown";
-}
-
 CookieBalancer::CookieBalancer(CookieBalancerSettings settings,
                                const TargetDirectory* directory, Hooks hooks)
     : m_settings(std::move(settings)),
--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -57,8 +57,7 @@
   const bool has_next =
       has_advanced && subscriber.acknowledged < GoalOf(subscriber);
   if (is_known && !has_next) return out;
-  const Outbox reports = ReportTo(from, &subscriber, now);
-  out.insert(out.end(), reports.begin(), reports.end());
+  out.push_back(ReportTo(from, &subscriber, now));
   return out;
 }
 
@@ -91,6 +90,7 @@
   m_changes.erase(record.revision);
   record.revision = ++m_revision;
   m_changes.emplace(record.revision, target);
+  m_changes_made.clear();
   if (!record.was_heard) return;
   m_heard_revision = record.revision;
   if (is_urgent) m_urgent_revision = record.revision;
@@ -188,8 +188,7 @@
     const NodeId id = it->first;
     ++it;
     if (!IsDue(subscriber, version, is_round, now)) continue;
-    Outbox reports = ReportTo(id, &subscriber, now);
-    std::move(reports.begin(), reports.end(), std::back_inserter(out));
+    out.push_back(ReportTo(id, &subscriber, now));
   }
   return out;
 }
@@ -203,8 +202,8 @@
   return static_cast<std::size_t>(count);
 }
 
-Outbox FeedPublisher::ReportTo(NodeId id, Subscriber* subscriber,
-                               TimePoint now) {
+OutgoingMessage FeedPublisher::ReportTo(NodeId id, Subscriber* subscriber,
+                                        TimePoint now) {
   const bool is_repeat =
       subscriber->acknowledged < subscriber->awaited_revision;
   FeedReport report;
@@ -238,7 +237,7 @@
   subscriber->reported_at = now;
   subscriber->sent_revision = report.revision;
   subscriber->sent_version = report.version;
-  return {{id, MessageKind::kFeed, report.Encode()}};
+  return {id, MessageKind::kFeed, report.Encode()};
 }
 
 SilenceReport FeedPublisher::MakeSilence(TimePoint now) const {
@@ -257,8 +256,6 @@
 
 const FeedPublisher::Changes& FeedPublisher::ChangesFor(
     const Subscriber& subscriber, TimePoint now) {
-  if (m_changes_made_for != m_revision) m_changes_made.clear();
-  m_changes_made_for = m_revision;
   const auto [found, is_new] = m_changes_made.try_emplace(
       std::pair(subscriber.acknowledged, subscriber.wants_all));
   if (is_new) found->second = MakeChanges(subscriber, now);
--- a/src/flow_placement.cc
+++ b/src/flow_placement.cc
@@ -19,6 +19,12 @@
   return std::find(list.begin(), list.end(), number) != list.end();
 }
 
+// What is left after `age` of a mean over `memory`.
+double Faded(double value, Duration age, Duration memory) {
+  return value * std::exp(-std::chrono::duration<double>(age) /
+                          std::chrono::duration<double>(memory));
+}
+
 void Decrease(std::uint32_t* count) {
   if (*count > 0) --*count;
 }
@@ -153,9 +159,7 @@
 }
 
 double FlowPlacement::BusyAt(const TargetView& view, TimePoint now) const {
-  const std::chrono::duration<double> age = now - view.busy_at;
-  const std::chrono::duration<double> memory = m_settings.busy_memory;
-  return view.busy * std::exp(-age / memory);
+  return Faded(view.busy, now - view.busy_at, m_settings.busy_memory);
 }
 
 void FlowPlacement::OnRequest(std::uint64_t target) {
@@ -176,9 +180,8 @@
 
 double FlowPlacement::UnansweredAt(const TargetView& view,
                                    TimePoint now) const {
-  const std::chrono::duration<double> age = now - view.unanswered_at;
-  const std::chrono::duration<double> memory = m_settings.unanswered_memory;
-  return view.unanswered * std::exp(-age / memory);
+  return Faded(view.unanswered, now - view.unanswered_at,
+               m_settings.unanswered_memory);
 }
 
 void FlowPlacement::OnUnanswered(std::uint64_t target, TimePoint now) {
--- a/src/log_stdout.cc
+++ b/src/log_stdout.cc
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <string>
 
+#include "clock.h"
 #include "log_budget.h"
 #include "sardinelead/log.h"
 
@@ -18,10 +19,6 @@
 // A pipe that is ready takes this much at once or nothing.
 constexpr std::size_t kMaxLineBytes = PIPE_BUF;
 
-TimePoint Now() {
-  return TimePoint(std::chrono::steady_clock::now().time_since_epoch());
-}
-
 std::string TimeText() {
   timespec now{};
   clock_gettime(CLOCK_REALTIME, &now);
@@ -50,7 +47,7 @@
   void Write(LogLevel level, const char* module, const std::string& line) {
     const std::lock_guard<std::mutex> lock(m_mutex);
     const std::string event = std::string(module) + " " + EventOf(line);
-    if (!m_budget.Take(event, Now())) return;
+    if (!m_budget.Take(event, SteadyNow())) return;
     if (!IsWritable()) return m_budget.Lose(event);
     std::string out = "time=" + TimeText() + " level=" + Name(level) +
                       " module=" + module + " " + line;
--- a/src/operator_api.cc
+++ b/src/operator_api.cc
@@ -8,6 +8,8 @@
 #include <optional>
 #include <utility>
 
+#include "clock.h"
+
 namespace sardinelead {
 namespace {
 
@@ -33,11 +35,6 @@
               "id");
 }
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 // Reads a whole number of `object` that may be missing.
 Result<std::int64_t> ReadNumber(const json& object, const char* key,
                                 std::int64_t missing, std::int64_t max) {
--- a/src/packet_loop.cc
+++ b/src/packet_loop.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "asio_endpoint.h"
+#include "clock.h"
 
 namespace sardinelead {
 namespace {
@@ -23,11 +24,6 @@
 
 }  // namespace
 
-TimePoint SteadyNow() {
-  return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 // One thread: its sockets, its buffers and its event loop.
 class PacketLoop::Worker : public PacketSender {
  public:
--- a/src/packet_loop.h
+++ b/src/packet_loop.h
@@ -48,9 +48,6 @@
     std::size_t thread, Ingress ingress, const ReceiveBatch& packets,
     std::size_t count, TimePoint now, PacketSender* out)>;
 
-// The monotonic clock as the library's time.
-TimePoint SteadyNow();
-
 class PacketLoop {
  public:
   PacketLoop(const PacketLoopSettings& settings, PacketHandler handler);
--- a/src/status_page.cc
+++ b/src/status_page.cc
@@ -1,19 +1,12 @@
 #include "status_page.h"
 
+#include "clock.h"
+
 namespace sardinelead {
 namespace {
 
 using nlohmann::json;
 
-std::int64_t ToMs(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
-std::string AddressOf(NodeId node) {
-  return IpAddress::FromV4(node.value).ToString();
-}
-
 // `time` is the directory's.
 json TargetToJson(const TargetDirectory::Entry& entry, TimePoint time) {
   return {{"address", entry.news.address.ToString()},
@@ -21,16 +14,17 @@
           {"data_centre", entry.news.data_centre},
           {"state", Name(entry.news.state)},
           {"slots", entry.news.slots},
-          {"silent_ms", ToMs(time - entry.heard_at)}};
+          {"silent_ms", Milliseconds(time - entry.heard_at)}};
 }
 
 }  // namespace
 
 json BalancerStatus(const TargetDirectory& directory, const FeedFollower& feed,
-                    const CookieBalancer& balancer, TimePoint now) {
+                    const CookieBalancer& balancer, const AddressOf& address_of,
+                    TimePoint now) {
   json controls = json::array();
   for (const SourceStatus& source : feed.Status(now)) {
-    controls.push_back({{"address", AddressOf(source.node)},
+    controls.push_back({{"address", address_of(source.node)},
                         {"data_centre", source.data_centre},
                         {"version", source.version.value},
                         {"heard", source.is_heard}});
@@ -52,20 +46,22 @@
           {"targets", std::move(targets)}};
 }
 
-json ControlStatus(const ControlPlane& plane, TimePoint now) {
+json ControlStatus(const ControlPlane& plane, const AddressOf& address_of,
+                   TimePoint now) {
   const ReplicaStatus status = plane.Status(now);
   json members = json::array();
   for (const auto& [member, has_joined] : status.members) {
-    members.push_back({{"address", AddressOf(member)}, {"joined", has_joined}});
+    members.push_back(
+        {{"address", address_of(member)}, {"joined", has_joined}});
   }
   json balancers = json::array();
   json controls = json::array();
   for (const SubscriberStatus& follower : plane.publisher().Status(now)) {
     json& list = follower.is_control ? controls : balancers;
-    list.push_back({{"address", AddressOf(follower.node)},
+    list.push_back({{"address", address_of(follower.node)},
                     {"data_centre", follower.data_centre},
                     {"version", follower.version.value},
-                    {"silent_ms", ToMs(follower.silent)}});
+                    {"silent_ms", Milliseconds(follower.silent)}});
   }
   json targets = json::array();
   for (const auto& [number, entry] : plane.directory().entries()) {
@@ -74,7 +70,7 @@
   return {{"role", Name(status.role)},
           {"version", plane.document().version.value},
           {"log_index", status.log_index},
-          {"quorum_silent_ms", ToMs(status.staleness)},
+          {"quorum_silent_ms", Milliseconds(status.staleness)},
           {"members", std::move(members)},
           {"balancers", std::move(balancers)},
           {"controls", std::move(controls)},
--- a/src/udp_port.cc
+++ b/src/udp_port.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "asio_endpoint.h"
+
 namespace sardinelead {
 namespace {
 
@@ -15,9 +17,8 @@
 
 Result<Endpoint> UdpPort::Open(const Endpoint& listen) {
   asio::error_code error;
-  const auto address = asio::ip::make_address(listen.address.ToString(), error);
-  const asio::ip::udp::endpoint endpoint(address, listen.port);
-  if (!error) m_socket.open(endpoint.protocol(), error);
+  const asio::ip::udp::endpoint endpoint = ToAsioUdp(listen);
+  m_socket.open(endpoint.protocol(), error);
   if (!error) m_socket.bind(endpoint, error);
   if (!error) m_socket.non_blocking(true, error);
   if (error) {
--- a/tests/control_plane_test.cc
+++ b/tests/control_plane_test.cc
@@ -144,7 +144,10 @@
     poll.data_centre = "a";
     m_plane->OnMessage(NodeId{0x0a000007}, MessageKind::kFeed, poll.Encode(),
                        m_now);
-    const nlohmann::json status = ControlStatus(*m_plane, m_now);
+    const nlohmann::json status = ControlStatus(
+        *m_plane,
+        [](NodeId node) { return IpAddress::FromV4(node.value).ToString(); },
+        m_now);
     CPPUNIT_ASSERT_EQUAL(std::string("voting"),
                          status["role"].get<std::string>());
     CPPUNIT_ASSERT_EQUAL(4, status["version"].get<int>());
--- a/tests/soak_ledger_test.cc
+++ b/tests/soak_ledger_test.cc
@@ -46,9 +46,9 @@
     AssertBroken(true);
   }
   void CatchesAFlowAtAnotherService() {
-    m_ledger.OnOpened(5, "gallery", kOther, kEdge, Now());
+    m_ledger.OnOpened(5, "gallery", kOther, kEdge, SteadyNow());
     AssertBroken(false);
-    m_ledger.OnOpened(5, "gallery", kService, kEdge, Now());
+    m_ledger.OnOpened(5, "gallery", kService, kEdge, SteadyNow());
     AssertBroken(true);
   }
   void CatchesARequestThatRanTwice() {
