Acknowledgments are not answered with the changes made since

A balancer acknowledges each report that has changes; the control VM answered each acknowledgment at once with what had changed meanwhile. With targets that announce themselves faster than 300 subscribers take, every acknowledgment found a change, so reports and acknowledgments went to and fro as fast as the network and the processor allowed, past the pacing of batches. Heartbeats were answered late, targets moved, and each move was another change. Seen by new counters, a second and control VM at 300 entry VMs and 2,994 targets: 14,828 polls and 14,834 reports for 60 targets gained, 19,829 targets in reports, heartbeats of 214 targets taken of some 650.

Change: only the next part of a report that did not hold all changes follows an acknowledgment at once. Other changes wait for the next batch.

--- a/include/sardinelead/feed_publisher.h
+++ b/include/sardinelead/feed_publisher.h
@@ -27,6 +27,17 @@
   Duration silent{0};     // Time since its last poll.
 };
 
+// What a publisher has done since its start.
+struct FeedCounters {
+  std::uint64_t polls = 0;            // Received.
+  std::uint64_t reports = 0;          // Sent, retransmissions included.
+  std::uint64_t retransmissions = 0;  // Reports whose changes were sent before.
+  std::uint64_t report_bytes = 0;
+  std::uint64_t changes_sent = 0;    // Targets in reports.
+  std::uint64_t targets_gained = 0;  // Heartbeats began to arrive here,
+  std::uint64_t targets_lost = 0;    // or no longer do.
+};
+
 class FeedPublisher {
  public:
   struct Hooks {
@@ -55,7 +66,8 @@
 
   std::size_t subscriber_count() const {
     return m_subscribers.size();
-  }  // NOLINT
+  }                                                            // NOLINT
+  const FeedCounters& counters() const { return m_counters; }  // NOLINT
   // The last known state of each subscriber, sorted by node.
   std::vector<SubscriberStatus> Status(TimePoint now) const;
 
@@ -75,6 +87,7 @@
     ConfigVersion sent_version;
     // Revision of the last report with changes; awaits an acknowledgment.
     std::uint64_t awaited_revision = 0;
+    bool has_more = false;  // The last report did not hold all changes.
     // Consecutive unacknowledged reports; each doubles the wait for the next.
     std::uint32_t retransmissions = 0;
   };
@@ -93,10 +106,6 @@
   bool IsDue(const Subscriber& subscriber, ConfigVersion version,
              bool is_batch_due, TimePoint now) const;
   Duration BatchInterval() const;
-  // The newest revision that is relevant to the subscriber.
-  std::uint64_t LatestRevisionFor(const Subscriber& subscriber) const {
-    return subscriber.wants_all_targets ? m_revision : m_heard_revision;
-  }
   // Assigns revisions to the targets that changed in the directory.
   void SyncWithDirectory();
   // Assigns the next revision to the target's record. A change that is not
@@ -127,11 +136,9 @@
   std::map<std::uint64_t, std::uint64_t> m_targets_by_revision;
   // Starts at 1: 0 means that a subscriber has received nothing.
   std::uint64_t m_revision = 1;
-  std::uint64_t m_urgent_revision = 1;  // Last urgent change.
-  // The revision of the last change of a target that has sent this control VM
-  // at least one message.
-  std::uint64_t m_heard_revision = 1;
+  std::uint64_t m_urgent_revision = 1;     // Last urgent change.
   std::uint64_t m_directory_revision = 0;  // Last one synced.
+  FeedCounters m_counters;
   std::vector<NodeId> m_members;
   TimePoint m_members_changed_at;
   TimePoint m_expired_at;
--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -32,11 +32,16 @@
   const auto message = DecodeFeedMessage(body);
   const FeedPoll* poll = message ? std::get_if<FeedPoll>(&*message) : nullptr;
   if (poll == nullptr) return {};
+  ++m_counters.polls;
   SyncWithDirectory();
   Subscriber& subscriber = m_subscribers[from];
   const bool is_known = subscriber.has_polled && poll->epoch == m_epoch;
-  const bool has_advanced =
-      is_known && poll->revision > subscriber.acknowledged;
+  // Only the parts of a long report follow each other at once. Changes made
+  // since then wait for the next batch: answered at once, each acknowledgment
+  // would cause another report and another acknowledgment, for every
+  // subscriber, as long as targets change.
+  const bool is_next_part_due = is_known && subscriber.has_more &&
+                                poll->revision > subscriber.acknowledged;
   if (!is_known) subscriber = Subscriber{};
   subscriber.has_polled = true;
   subscriber.retransmissions = 0;
@@ -55,9 +60,7 @@
       out.push_back({from, MessageKind::kFeed, reply.Encode()});
     }
   }
-  const bool has_pending_changes =
-      has_advanced && subscriber.acknowledged < LatestRevisionFor(subscriber);
-  if (is_known && !has_pending_changes) return out;
+  if (is_known && !is_next_part_due) return out;
   out.push_back(MakeReport(from, &subscriber, now));
   return out;
 }
@@ -74,6 +77,7 @@
   record.heard_at = now;
   record.ever_heard = true;
   record.is_heard = !is_ended;
+  if (is_newly_heard) ++m_counters.targets_gained;
   if (is_first || is_newly_heard) AssignRevision(target, is_changed);
 }
 
@@ -93,7 +97,6 @@
   m_targets_by_revision.emplace(record.revision, target);
   m_encoded_changes.clear();
   if (!record.ever_heard) return;
-  m_heard_revision = record.revision;
   if (is_urgent) m_urgent_revision = record.revision;
 }
 
@@ -111,6 +114,7 @@
     const bool is_expired =
         record.is_heard && now - record.heard_at > kHeardTimeout;
     if (is_expired) {
+      ++m_counters.targets_lost;
       it->second.is_heard = false;
       AssignRevision(number, false);
     }
@@ -225,7 +229,9 @@
     report.revision = changes.revision;
     report.has_more = changes.has_more;
     report.changed = changes.encoded;
+    subscriber->has_more = changes.has_more;
     if (changes.count > 0) subscriber->awaited_revision = changes.revision;
+    m_counters.changes_sent += changes.count;
   }
   const bool sends_silence =
       now - subscriber->silence_at >= m_settings.report_interval;
@@ -247,7 +253,11 @@
   subscriber->reported_at = now;
   subscriber->sent_revision = report.revision;
   subscriber->sent_version = report.version;
-  return {id, MessageKind::kFeed, report.Encode()};
+  OutgoingMessage message{id, MessageKind::kFeed, report.Encode()};
+  ++m_counters.reports;
+  m_counters.retransmissions += is_retransmission ? 1 : 0;
+  m_counters.report_bytes += message.body.size();
+  return message;
 }
 
 SilenceReport FeedPublisher::MakeSilence(TimePoint now) const {
