--- a/include/sardinelead/http_server.h
+++ b/include/sardinelead/http_server.h
@@ -109,6 +109,12 @@
   // Like Start(), but runs on `context`, which must be run by a single thread
   // and outlive the server. Stop() then does not wait.
   Result<Endpoint> StartOn(asio::io_context* context);
+  // Refuses new connections from now on and keeps those that are open. Only
+  // after StartOn().
+  void StopAccepting();
+  // Whether every request that was received has been answered and its response
+  // sent.
+  bool IsIdle() const;
   // Waits up to `grace` for requests in flight, then closes all connections.
   // Returns true if every request was answered.
   bool Stop(Duration grace = Duration::zero());
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -1,6 +1,7 @@
 #include "sardinelead/http_server.h"
 
 #include <algorithm>
+#include <cassert>
 #include <cctype>
 #include <condition_variable>
 #include <exception>
@@ -135,6 +136,10 @@
     const std::lock_guard<std::mutex> lock(m_mutex);
     if (--m_count == 0) m_idle.notify_all();
   }
+  bool IsIdle() {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_count == 0;
+  }
   bool WaitUntilIdle(Duration limit) {
     std::unique_lock<std::mutex> lock(m_mutex);
     return m_idle.wait_for(lock, limit, [this] { return m_count == 0; });
@@ -336,6 +341,13 @@
   return bound;
 }
 
+void HttpServer::StopAccepting() {
+  assert(m_impl->server_on_context != nullptr);
+  m_impl->server_on_context->close_sync();
+}
+
+bool HttpServer::IsIdle() const { return m_impl->in_flight->IsIdle(); }
+
 bool HttpServer::Stop(Duration grace) {
   if (m_impl->server_on_context != nullptr) {
     m_impl->server_on_context->close_sync();
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <asio.hpp>
+#include <functional>
 #include <string>
 #include <thread>
 
@@ -16,6 +17,8 @@
   CPPUNIT_TEST(RespondsAsynchronously);
   CPPUNIT_TEST(RefusesBodiesBeyondTheLimit);
   CPPUNIT_TEST(StopWaitsForRequestsInFlight);
+  CPPUNIT_TEST(ServerOnContextIsBusyUntilResponsesAreSent);
+  CPPUNIT_TEST(ServerOnContextRefusesConnectionsAfterStopAccepting);
   CPPUNIT_TEST(ClientDistinguishesNotSentFromUnknown);
   CPPUNIT_TEST_SUITE_END();
 
@@ -87,6 +90,47 @@
     CPPUNIT_ASSERT_EQUAL(std::string("whole"), answer.value().body);
   }
 
+  // A process that stops as planned must not end while a request that it has
+  // read awaits its response.
+  void ServerOnContextIsBusyUntilResponsesAreSent() {
+    asio::io_context context{1};
+    HttpServerSettings settings;
+    settings.listen = *Endpoint::Parse("127.0.0.1:0");
+    HttpServer server(settings);
+    HttpServer::Respond pending;
+    server.HandleAsync(
+        HttpMethod::kPost, "/v1/later",
+        [&](const HttpRequest&, const HttpServer::Respond& respond) {
+          pending = respond;
+        });
+    const Endpoint bound = server.StartOn(&context).value();
+    CPPUNIT_ASSERT(server.IsIdle());
+    Result<HttpClientResponse> answer = Fail(ErrorCode::kIo, "not called");
+    std::thread caller(
+        [&] { answer = SendHttpRequest(bound, DelayedRequest("x")); });
+    RunUntil(&context, [&] { return pending != nullptr; });
+    server.StopAccepting();
+    CPPUNIT_ASSERT(!server.IsIdle());
+    pending(TextResponse(202, "whole"));
+    RunUntil(&context, [&] { return server.IsIdle(); });
+    caller.join();
+    CPPUNIT_ASSERT_EQUAL(std::string("whole"), answer.value().body);
+  }
+
+  // A refused connection tells the caller that nothing ran; one that is
+  // accepted and then cut does not.
+  void ServerOnContextRefusesConnectionsAfterStopAccepting() {
+    asio::io_context context{1};
+    HttpServerSettings settings;
+    settings.listen = *Endpoint::Parse("127.0.0.1:0");
+    HttpServer server(settings);
+    const Endpoint bound = server.StartOn(&context).value();
+    server.StopAccepting();
+    context.poll();
+    CPPUNIT_ASSERT(SendHttpRequest(bound, DelayedRequest("x")).error().code ==
+                   ErrorCode::kIo);
+  }
+
   void ClientDistinguishesNotSentFromUnknown() {
     asio::io_context context;
     asio::ip::tcp::acceptor silent(context,
@@ -103,6 +147,17 @@
   }
 
  private:
+  // Runs `context` until `is_done`, for at most 5 s.
+  static void RunUntil(asio::io_context* context,
+                       const std::function<bool()>& is_done) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!is_done()) {
+      context->run_one_for(std::chrono::milliseconds(10));
+      context->restart();
+      CPPUNIT_ASSERT(std::chrono::steady_clock::now() < end);
+    }
+  }
+
   static HttpClientRequest DelayedRequest(std::string body) {
     HttpClientRequest call;
     call.method = HttpMethod::kPost;
