Changes made while a report is on its way follow in the next batch

Cause: since acknowledgments are no longer answered with later changes, a target that moves, or is heard again after a restart, waited for the next periodic report, up to 500 ms.

Change: a subscriber that acknowledges and lacks later changes gets them with the next batch, 40 ms to 1 s by the number of subscribers, so that the rate stays bounded as before.

Measured: FeedLoadTest.ChangeDuringAReportArrivesWithTheNextBatch fails without the change; Feed tests 26 passed, 0 failed.

--- a/include/sardinelead/feed_publisher.h
+++ b/include/sardinelead/feed_publisher.h
@@ -88,6 +88,8 @@
     // Revision of the last report with changes; awaits an acknowledgment.
     std::uint64_t awaited_revision = 0;
     bool has_more = false;  // The last report did not hold all changes.
+    // Targets changed while the last report was on its way.
+    bool awaits_batch = false;
     // Consecutive unacknowledged reports; each doubles the wait for the next.
     std::uint32_t retransmissions = 0;
   };
@@ -106,6 +108,10 @@
   bool IsDue(const Subscriber& subscriber, ConfigVersion version,
              bool is_batch_due, TimePoint now) const;
   Duration BatchInterval() const;
+  // The newest revision that is relevant to the subscriber.
+  std::uint64_t LatestRevisionFor(const Subscriber& subscriber) const {
+    return subscriber.wants_all_targets ? m_revision : m_heard_revision;
+  }
   // Assigns revisions to the targets that changed in the directory.
   void SyncWithDirectory();
   // Assigns the next revision to the target's record. A change that is not
@@ -136,7 +142,10 @@
   std::map<std::uint64_t, std::uint64_t> m_targets_by_revision;
   // Starts at 1: 0 means that a subscriber has received nothing.
   std::uint64_t m_revision = 1;
-  std::uint64_t m_urgent_revision = 1;     // Last urgent change.
+  std::uint64_t m_urgent_revision = 1;  // Last urgent change.
+  // The revision of the last change of a target that has sent this control VM
+  // at least one message.
+  std::uint64_t m_heard_revision = 1;
   std::uint64_t m_directory_revision = 0;  // Last one synced.
   FeedCounters m_counters;
   std::vector<NodeId> m_members;
--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -36,12 +36,13 @@
   SyncWithDirectory();
   Subscriber& subscriber = m_subscribers[from];
   const bool is_known = subscriber.has_polled && poll->epoch == m_epoch;
+  const bool has_advanced =
+      is_known && poll->revision > subscriber.acknowledged;
   // Only the parts of a long report follow each other at once. Changes made
   // since then wait for the next batch: answered at once, each acknowledgment
   // would cause another report and another acknowledgment, for every
   // subscriber, as long as targets change.
-  const bool is_next_part_due = is_known && subscriber.has_more &&
-                                poll->revision > subscriber.acknowledged;
+  const bool is_next_part_due = has_advanced && subscriber.has_more;
   if (!is_known) subscriber = Subscriber{};
   subscriber.has_polled = true;
   subscriber.retransmissions = 0;
@@ -60,6 +61,8 @@
       out.push_back({from, MessageKind::kFeed, reply.Encode()});
     }
   }
+  subscriber.awaits_batch =
+      has_advanced && subscriber.acknowledged < LatestRevisionFor(subscriber);
   if (is_known && !is_next_part_due) return out;
   out.push_back(MakeReport(from, &subscriber, now));
   return out;
@@ -97,6 +100,7 @@
   m_targets_by_revision.emplace(record.revision, target);
   m_encoded_changes.clear();
   if (!record.ever_heard) return;
+  m_heard_revision = record.revision;
   if (is_urgent) m_urgent_revision = record.revision;
 }
 
@@ -166,7 +170,8 @@
                           bool is_batch_due, TimePoint now) const {
   if (now - subscriber.silence_at >= m_settings.report_interval) return true;
   const bool has_urgent = subscriber.sent_revision < m_urgent_revision ||
-                          subscriber.sent_version < version;
+                          subscriber.sent_version < version ||
+                          subscriber.awaits_batch;
   const bool is_in_flight =
       !subscriber.has_polled ||
       subscriber.acknowledged < subscriber.awaited_revision;
@@ -230,6 +235,7 @@
     report.has_more = changes.has_more;
     report.changed = changes.encoded;
     subscriber->has_more = changes.has_more;
+    subscriber->awaits_batch = false;
     if (changes.count > 0) subscriber->awaited_revision = changes.revision;
     m_counters.changes_sent += changes.count;
   }
--- a/tests/feed_load_test.cc
+++ b/tests/feed_load_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(ReportsArePacedWhileTargetsAnnounceThemselves);
   CPPUNIT_TEST(ReportsArePacedWhileTargetsMove);
   CPPUNIT_TEST(LargeReportIsContinuedAtOnce);
+  CPPUNIT_TEST(ChangeDuringAReportArrivesWithTheNextBatch);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -92,6 +93,22 @@
                          follower->directory.entries().size());
   }
 
+  // A target that moves here while a report is on its way is not urgent, but
+  // need not wait for the next periodic report either. After a loss of power
+  // all targets are heard again within a moment.
+  void ChangeDuringAReportArrivesWithTheNextBatch() {
+    m_directory.Take(MakeAnnouncement(2, 1), m_now);
+    Run(2 * kSecond);
+    Announce(1, 1);
+    while (m_in_flight.empty()) Run(kNetworkDelay);
+    Announce(2, 2);
+    const std::uint64_t before = m_publisher->counters().changes_sent;
+    Run(std::chrono::duration_cast<Duration>(
+            m_settings.interval_per_subscriber * kFollowers) +
+        milliseconds(60));
+    CPPUNIT_ASSERT(m_publisher->counters().changes_sent - before >= kFollowers);
+  }
+
  private:
   struct InFlight {
     NodeId from;
