Plain terms in the membership code and two test comments

Cause: a reading of the diff as a newcomer: a local variable and three comments were figurative or did not stand alone. Change: names and comments only; no behaviour.

--- a/src/replica_members.cc
+++ b/src/replica_members.cc
@@ -32,7 +32,7 @@
 constexpr Duration kRemovalJitter = std::chrono::milliseconds(200);
 constexpr Duration kRemovalDeadline = std::chrono::seconds(1);
 // A replica that was not scheduled for this long, or that had no quorum for
-// kMaxObservationGap, cannot tell which members were silent meanwhile.
+// kMaxObservationGap, does not know which members were silent meanwhile.
 constexpr Duration kMaxObservationGap = std::chrono::seconds(1);
 
 }  // namespace
@@ -86,11 +86,11 @@
   for (const auto& [member, store] : m_state.members()) {
     if (store == 0 || member == m_settings.self) continue;
     const auto found = m_last_heard.find(member);
-    const TimePoint heard = found == m_last_heard.end()
-                                ? m_observed_since
-                                : std::max(found->second, m_observed_since);
-    if (heard >= oldest) continue;
-    oldest = heard;
+    const TimePoint received_at =
+        found == m_last_heard.end() ? m_observed_since
+                                    : std::max(found->second, m_observed_since);
+    if (received_at >= oldest) continue;
+    oldest = received_at;
     unresponsive_member = member;
   }
   return unresponsive_member;
--- a/tests/feed_load_test.cc
+++ b/tests/feed_load_test.cc
@@ -95,7 +95,7 @@
 
   // A target that moves here while a report is on its way is not urgent, but
   // need not wait for the next periodic report either. After a loss of power
-  // all targets are heard again within a moment.
+  // all targets send heartbeats again at nearly the same time.
   void ChangeDuringAReportArrivesWithTheNextBatch() {
     m_directory.Take(MakeAnnouncement(2, 1), m_now);
     Run(2 * kSecond);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -117,8 +117,8 @@
     CPPUNIT_ASSERT_EQUAL(std::string("whole"), answer.value().body);
   }
 
-  // A refused connection tells the caller that nothing ran; one that is
-  // accepted and then cut does not.
+  // After a refused connection the caller knows that nothing ran. After one
+  // that is accepted and then closed it does not.
   void ServerOnContextRefusesConnectionsAfterStopAccepting() {
     asio::io_context context{1};
     HttpServerSettings settings;
