review: a heartbeat for an unknown service ends a living host

Cause: the service of a heartbeat is not compared with the configuration, and a newer entry at the same address ends the older target.

--- /dev/null
+++ b/review/standins/main.cc
@@ -0,0 +1,279 @@
+// standins CASE ROOT FOLDER RECORD TROUBLE
+//
+// Plays one case on the real programs and the real clock. Exit code: 1 if the
+// rule was broken, 0 if it held, 2 if the case couldn't run.
+
+#include <signal.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <stdexcept>
+
+#include "client.h"
+#include "host.h"
+#include "http.h"
+
+namespace review {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kCouldNotRun = 2;
+constexpr const char* kService = "orders";
+// Machines are in touch after `contactMs`; a little more is waited.
+constexpr auto kInTouch = milliseconds(4500);
+
+void Sleep(milliseconds span) { std::this_thread::sleep_for(span); }
+
+// Three control machines, edges in zone "a", hosts and one client.
+struct World {
+  World(const std::string& root, const std::string& folder,
+        const std::string& record_path)
+      : record(record_path), system(root, folder, &record) {}
+
+  Address Service() const { return {system.Ip(9, 1), 8080}; }
+
+  std::string ConfigText(int version) const {
+    std::string hostname = Service().Text();
+    hostname = hostname.substr(0, hostname.find(':'));
+    return R"({"version":)" + std::to_string(version) +
+           R"(,"routes":[{"name":"r-notes","hostname":")" + hostname +
+           R"(","pathPrefix":"/8080/","type":"non_idempotent",)" +
+           R"("timeoutMs":2000,"targetLatencyMs":300,"priority":1,)" +
+           R"("service":"orders","maxAttempts":2}],"services":[)" +
+           R"({"name":"orders","healthPath":"/health","maxConns":2000,)" +
+           R"("protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,)" +
+           R"("maxBodyBytes":262144,"headerTimeoutMs":3000,)" +
+           R"("idleTimeoutMs":15000}})";
+  }
+
+  // Starts everything and waits until all machines are in touch.
+  void Start(int edges, int hosts, int work_ms) {
+    system.Start(edges);
+    Sleep(milliseconds(500));
+    if (!system.Configure(ConfigText(7))) {
+      throw std::runtime_error("the configuration isn't acknowledged");
+    }
+    for (int i = 0; i < hosts; ++i) AddHost(i, work_ms);
+    const Time end = Clock::now() + seconds(5);
+    for (const auto& host : all_hosts) {
+      while (!host->is_known() && Clock::now() < end) Sleep(milliseconds(20));
+      if (!host->is_known()) throw std::runtime_error("no heartbeat is acked");
+    }
+    if (!system.WaitUntilReady()) throw std::runtime_error("no edge is ready");
+    client = std::make_unique<Client>(system.Ip(4, 1), &system, &record);
+    Sleep(kInTouch);
+  }
+
+  void AddHost(int i, int work_ms) {
+    HostSettings settings;
+    settings.id = 0x7f3a9100U + static_cast<unsigned>(i);
+    settings.service = kService;
+    settings.zone = "a";
+    settings.address = {system.Ip(3, i + 1), kHostPort};
+    settings.work_ms = work_ms;
+    all_hosts.push_back(std::make_unique<Host>(settings, &system, &record));
+  }
+
+  const Host* HostAt(const Address& address) const {
+    for (const auto& host : all_hosts) {
+      if (host->settings().address == address) return host.get();
+    }
+    return nullptr;
+  }
+
+  // Opens a flow from each port and sends one request on each.
+  void OpenFlows(int first_port, int count) {
+    for (int i = 0; i < count; ++i) {
+      client->Open(static_cast<std::uint16_t>(first_port + i), Service());
+      Sleep(milliseconds(20));
+    }
+    Sleep(milliseconds(500));
+    for (int i = 0; i < count; ++i) {
+      const auto port = static_cast<std::uint16_t>(first_port + i);
+      if (!client->IsOpen(port)) throw std::runtime_error("a flow didn't open");
+    }
+  }
+
+  // FLOW (a): the client gets a reset that the flow's host didn't send, while
+  // that host lives. No host ends in these cases.
+  int CountForeignResets() {
+    int count = 0;
+    for (const ResetSeen& reset : client->Resets()) {
+      const bool is_foreign =
+          reset.was_open &&
+          (reset.is_from_system || !(reset.from == reset.host));
+      if (is_foreign) ++count;
+    }
+    return count;
+  }
+
+  int Verdict() {
+    int answered = 0;
+    int others = 0;
+    for (const RequestResult& result : client->Results()) {
+      ++(result.state == RequestState::kAnswered ? answered : others);
+    }
+    const int resets = CountForeignResets();
+    record.Line("requests answered: " + std::to_string(answered) +
+                ", not answered: " + std::to_string(others));
+    record.Line("FLOW (a): resets of open flows that their living host didn't "
+                "send: " +
+                std::to_string(resets));
+    record.Line(resets > 0 ? "FLOW is broken" : "FLOW held");
+    return resets > 0 ? kBroken : kHeld;
+  }
+
+  Record record;
+  System system;
+  std::vector<std::unique_ptr<Host>> all_hosts;
+  std::unique_ptr<Client> client;
+};
+
+// Another writer sends one heartbeat with a service that isn't named in the
+// configuration. It gives the address of a living host.
+int RunForeignHeartbeat(World* world, bool has_trouble) {
+  world->Start(2, 2, 40);
+  constexpr int kFlows = 12;
+  constexpr int kFirstPort = 41000;
+  world->OpenFlows(kFirstPort, kFlows);
+  const Host& host = *world->all_hosts[0];
+  for (int round = 0; round < 8; ++round) {
+    if (round == 2 && has_trouble) {
+      const std::string text =
+          HeartbeatText("batch-agent", host.settings().address, "a", 1,
+                        UnixMilliseconds());
+      const HttpAnswer answer =
+          Call(world->system.ControlApi(0), "POST",
+               "/instances/i-55aa0001/heartbeat", text);
+      world->record.Line("another writer sends " + text + " for i-55aa0001: " +
+                         std::to_string(answer.status));
+    }
+    for (int i = 0; i < kFlows; ++i) {
+      const auto port = static_cast<std::uint16_t>(kFirstPort + i);
+      world->client->Request(port,
+                             "q" + std::to_string(round) + "-" +
+                                 std::to_string(i),
+                             false);
+    }
+    Sleep(milliseconds(1000));
+  }
+  Sleep(milliseconds(2500));
+  // Where do new flows go afterwards?
+  constexpr int kMoreFlows = 10;
+  constexpr int kMorePort = 42000;
+  world->OpenFlows(kMorePort, kMoreFlows);
+  int at_host = 0;
+  for (int i = 0; i < kMoreFlows; ++i) {
+    const auto port = static_cast<std::uint16_t>(kMorePort + i);
+    const bool is_there =
+        world->client->HostOf(port) == host.settings().address;
+    at_host += is_there ? 1 : 0;
+  }
+  world->record.Line("of " + std::to_string(kMoreFlows) + " new flows, " +
+                     std::to_string(at_host) + " opened at " + host.Name());
+  for (const auto& each : world->all_hosts) {
+    world->record.Line(each->Name() + " lives; heartbeats acknowledged: " +
+                       std::to_string(each->acknowledged()) + ", requests run: " +
+                       std::to_string(each->Runs().size()));
+  }
+  return world->Verdict();
+}
+
+// The network loses one SYN+ACK. Later an edge is restarted as planned.
+int RunLostOpeningAnswer(World* world, bool has_trouble) {
+  world->Start(2, 2, 40);
+  constexpr std::uint16_t kPort = 41000;
+  const auto is_lost_once = std::make_shared<bool>(false);
+  if (has_trouble) {
+    world->client->is_lost = [is_lost_once](const Packet& packet) {
+      if ((packet.flags & kSyn) == 0 || *is_lost_once) return false;
+      *is_lost_once = true;
+      return true;
+    };
+  }
+  world->OpenFlows(kPort, 1);
+  world->client->Request(kPort, "q1", false);
+  Sleep(milliseconds(300));
+  System& system = world->system;
+  Machine& edge = system.edge(
+      system.EdgeOf(world->client->AddressOf(kPort), world->Service()));
+  world->record.Line("planned restart of " + edge.name +
+                     ", through which the flow goes");
+  system.Signal(edge, SIGTERM);
+  // The flow's next request comes after a pause.
+  Sleep(milliseconds(3000));
+  world->client->Request(kPort, "q2", false);
+  Sleep(milliseconds(2500));
+  if (system.HasEnded(&edge)) system.Restart(&edge);
+  return world->Verdict();
+}
+
+// A link drops two packets at one moment: the first copies of two requests to
+// one host. Other flows of that host have no request in progress.
+int RunLostRequests(World* world, bool has_trouble) {
+  world->Start(1, 2, 40);
+  constexpr int kFlows = 12;
+  constexpr int kFirstPort = 41000;
+  world->OpenFlows(kFirstPort, kFlows);
+  Host& host = *world->all_hosts[0];
+  std::vector<std::uint16_t> ports;
+  for (int i = 0; i < kFlows; ++i) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + i);
+    world->client->Request(port, "q1-" + std::to_string(i), false);
+    if (world->client->HostOf(port) == host.settings().address) {
+      ports.push_back(port);
+    }
+  }
+  Sleep(milliseconds(1000));
+  if (ports.size() < 4) throw std::runtime_error("too few flows at the host");
+  const auto lost = std::make_shared<int>(0);
+  if (has_trouble) {
+    host.is_lost = [lost](const Packet& packet) {
+      if (packet.data.empty() || *lost >= 2) return false;
+      ++*lost;
+      return true;
+    };
+  }
+  world->client->Request(ports[0], "q2-0", false);
+  world->client->Request(ports[1], "q2-1", false);
+  Sleep(milliseconds(1500));
+  for (std::size_t i = 2; i < ports.size(); ++i) {
+    world->client->Request(ports[i], "q3-" + std::to_string(i), false);
+  }
+  Sleep(milliseconds(1500));
+  return world->Verdict();
+}
+
+int Run(int argc, char** argv) {
+  if (argc != 6) return kCouldNotRun;
+  const std::string name = argv[1];
+  const bool has_trouble = std::string(argv[5]) != "0";
+  std::srand(static_cast<unsigned>(UnixMilliseconds()));
+  World world(argv[2], argv[3], argv[4]);
+  world.record.Line("case " + name + ", TROUBLE=" + argv[5]);
+  try {
+    if (name == "foreign-heartbeat") {
+      return RunForeignHeartbeat(&world, has_trouble);
+    }
+    if (name == "lost-opening-answer") {
+      return RunLostOpeningAnswer(&world, has_trouble);
+    }
+    if (name == "lost-requests") return RunLostRequests(&world, has_trouble);
+  } catch (const std::exception& error) {
+    world.record.Line(std::string("couldn't run: ") + error.what());
+  }
+  return kCouldNotRun;
+}
+
+}  // namespace
+}  // namespace review
+
+int main(int argc, char** argv) {
+  signal(SIGPIPE, SIG_IGN);
+  return review::Run(argc, argv);
+}
