review: large changes in progress at once end the control plane

Cause: a proposed value may be larger than the largest message between peers, and large messages overflow receive buffers; undecided values block quorums. Change: review/1 and its stand-ins.

--- a/review/standins/host.cc
+++ b/review/standins/host.cc
@@ -86,7 +86,8 @@
 }
 
 void Host::Announce() {
-  int control = static_cast<int>(m_settings.id % 3);
+  const int controls = m_system->controls();
+  int control = static_cast<int>(m_settings.id) % controls;
   for (std::uint64_t sequence = 1; !m_is_over; ++sequence) {
     const HttpAnswer answer =
         Call(m_system->ControlApi(control), "POST",
@@ -102,7 +103,7 @@
                      std::to_string(m_born));
     }
     m_is_known = m_is_known || is_acknowledged;
-    if (!is_acknowledged) control = (control + 1) % 3;
+    if (!is_acknowledged) control = (control + 1) % controls;
     const Time next = Clock::now() + kHeartbeat;
     while (is_acknowledged && !m_is_over && Clock::now() < next) {
       std::this_thread::sleep_for(milliseconds(10));
--- a/review/standins/http.cc
+++ b/review/standins/http.cc
@@ -11,8 +11,6 @@
 namespace review {
 namespace {
 
-constexpr auto kDeadline = std::chrono::seconds(1);
-
 int MillisecondsUntil(Time end) {
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       end - Clock::now());
@@ -36,9 +34,10 @@
 }  // namespace
 
 HttpAnswer Call(const Address& server, const std::string& method,
-                const std::string& path, const std::string& body) {
+                const std::string& path, const std::string& body,
+                std::chrono::milliseconds deadline) {
   HttpAnswer answer;
-  const Time end = Clock::now() + kDeadline;
+  const Time end = Clock::now() + deadline;
   const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK,
                             0);
   sockaddr_in address{};
--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -13,9 +13,10 @@
 };
 
 // Sends one request on a connection of its own. An answer counts if it comes
-// within a second.
+// within `deadline`.
 HttpAnswer Call(const Address& server, const std::string& method,
-                const std::string& path, const std::string& body);
+                const std::string& path, const std::string& body,
+                std::chrono::milliseconds deadline = std::chrono::seconds(1));
 
 }  // namespace review
 
--- a/review/standins/main.cc
+++ b/review/standins/main.cc
@@ -7,7 +7,10 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <algorithm>
+#include <atomic>
 #include <memory>
+#include <random>
 #include <stdexcept>
 
 #include "client.h"
@@ -249,6 +252,164 @@
   return world->Verdict();
 }
 
+// A complete configuration with `routes` routes, each at an address of its own.
+std::string BigConfigText(int version, int routes, std::uint32_t first_ip) {
+  static const char* const kKinds[] = {"idempotent", "non_idempotent",
+                                       "download"};
+  static const char* const kPools[] = {"orders", "gallery"};
+  static const int kPorts[] = {80, 443, 8080, 8443};
+  static const int kTimeouts[] = {1500, 2000, 3000};
+  std::mt19937 random(1);  // All versions have the same routes.
+  std::string text = R"({"version":)" + std::to_string(version) +
+                     R"(,"routes":[)";
+  for (int i = 0; i < routes; ++i) {
+    std::string name = "r-";
+    for (int digit = 0; digit < 7; ++digit) {
+      name += "0123456789abcdefghijklmnopqrstuvwxyz"[random() % 36];
+    }
+    const std::string ip =
+        Address{first_ip + static_cast<std::uint32_t>(i), 0}.Text();
+    const unsigned port = random() % 5 == 0
+                              ? kPorts[random() % 4]
+                              : 1024 + random() % 60000;
+    // A change of a time-out tells the versions apart.
+    const int timeout_ms = i == 0 ? 1000 + version : kTimeouts[random() % 3];
+    text += i == 0 ? "" : ",";
+    text += R"({"name":")" + name + R"(","hostname":")" +
+            ip.substr(0, ip.find(':')) + R"(","pathPrefix":"/)" +
+            std::to_string(port) + R"(/","type":")" + kKinds[random() % 3] +
+            R"(","timeoutMs":)" + std::to_string(timeout_ms) +
+            R"(,"targetLatencyMs":300,"priority":)" +
+            std::to_string(1 + random() % 2) + R"(,"service":")" +
+            kPools[random() % 2] + R"(","maxAttempts":2})";
+  }
+  return text + R"(],"services":[{"name":"orders","healthPath":"/health",)" +
+         R"("maxConns":2000,"protocol":"h1","tls":false},{"name":"gallery",)" +
+         R"("healthPath":"/health","maxConns":2000,"protocol":"h1",)" +
+         R"("tls":false}],"limits":{"maxHeaderBytes":16384,)" +
+         R"("maxBodyBytes":262144,"headerTimeoutMs":3000,)" +
+         R"("idleTimeoutMs":15000}})";
+}
+
+// The operator: sends one order until it is acknowledged, to one node after
+// the other, with increasing backoff. Returns whether it was acknowledged.
+bool SendOrder(World* world, int version, const std::string& text, int node,
+               Time end) {
+  milliseconds backoff(100);
+  for (int i = node; Clock::now() < end; ++i) {
+    const int control = i % world->system.controls();
+    const HttpAnswer answer = Call(world->system.ControlApi(control), "POST",
+                                   "/config/replace", text, seconds(3));
+    world->record.Line("version " + std::to_string(version) + " sent to " +
+                       world->system.control(control).name + ": " +
+                       std::to_string(answer.status));
+    if (answer.status == 200) return true;
+    Sleep(backoff);
+    backoff = std::min<milliseconds>(backoff * 2, milliseconds(1600));
+  }
+  return false;
+}
+
+int VersionOf(const std::string& text) {
+  const std::size_t at = text.find("\"version\":");
+  return at == std::string::npos ? 0 : std::atoi(text.c_str() + at + 10);
+}
+
+// Reads the configuration at one node after the other for `span`. Counts the
+// answers, and those that are older than `newest`.
+struct Reads {
+  int answered = 0;
+  int older = 0;
+};
+Reads ReadBack(World* world, int newest, seconds span) {
+  constexpr int kEnough = 8;
+  Reads reads;
+  const Time end = Clock::now() + span;
+  for (int i = 0; Clock::now() < end && reads.answered < kEnough; ++i) {
+    const int control = i % world->system.controls();
+    const HttpAnswer answer = Call(world->system.ControlApi(control), "GET",
+                                   "/config/read", "", seconds(3));
+    const int version = answer.status == 200 ? VersionOf(answer.body) : 0;
+    world->record.Line("read at " + world->system.control(control).name + ": " +
+                       std::to_string(answer.status) + ", version " +
+                       std::to_string(version));
+    if (answer.status == 200) ++reads.answered;
+    if (answer.status == 200 && version < newest) ++reads.older;
+    Sleep(milliseconds(200));
+  }
+  return reads;
+}
+
+// Many changes, of which up to eight are in progress at once, of a
+// configuration that has grown to `grown_routes`. Without the trouble it has
+// not grown.
+int RunOrdersInProgress(World* world, bool has_trouble, int grown_routes) {
+  constexpr int kSmallRoutes = 350;
+  constexpr int kInProgress = 8;
+  constexpr int kFirst = 10;
+  constexpr int kLast = 130;
+  const int routes = has_trouble ? grown_routes : kSmallRoutes;
+  const auto make_text = [&](int version) {
+    return BigConfigText(version, version == kFirst ? kSmallRoutes : routes,
+                         world->system.Ip(10, 0));
+  };
+  System& system = world->system;
+  system.Start(1, 4);
+  Sleep(milliseconds(1000));
+  world->record.Line("the configuration grows from " +
+                     std::to_string(kSmallRoutes) + " to " +
+                     std::to_string(routes) + " routes, " +
+                     std::to_string(make_text(kLast).size()) + " bytes");
+  const Time first_end = Clock::now() + seconds(10);
+  if (!SendOrder(world, kFirst, make_text(kFirst), 0, first_end)) {
+    throw std::runtime_error("the first configuration isn't acknowledged");
+  }
+  Sleep(kInTouch);
+  std::atomic<int> newest{kFirst};
+  std::atomic<int> next{kFirst};
+  std::atomic<int> acknowledged{0};
+  std::vector<std::thread> orders;
+  const Time end = Clock::now() + seconds(40);
+  for (int i = 0; i < kInProgress; ++i) {
+    orders.emplace_back([&] {
+      for (int version = ++next; version <= kLast; version = ++next) {
+        if (!SendOrder(world, version, make_text(version), version, end)) {
+          return;
+        }
+        ++acknowledged;
+        int seen = newest;
+        while (seen < version &&
+               !newest.compare_exchange_weak(seen, version)) {
+        }
+      }
+    });
+  }
+  for (std::thread& order : orders) order.join();
+  world->record.Line("changes acknowledged: " + std::to_string(acknowledged) +
+                     " of " + std::to_string(kLast - kFirst) +
+                     ", newest version " + std::to_string(newest));
+  // At the end of the day the operator reads for at least `contactMs`.
+  const Reads reads = ReadBack(world, newest, seconds(15));
+  world->record.Line("CONFIG: reads answered: " +
+                     std::to_string(reads.answered) +
+                     ", older than acknowledged: " +
+                     std::to_string(reads.older));
+  const bool is_broken = reads.answered == 0 || reads.older > 0;
+  world->record.Line(is_broken ? "CONFIG is broken" : "CONFIG held");
+  if (!is_broken) return kHeld;
+  // Not part of the verdict: does a restart of all control processes help?
+  for (int i = 0; i < system.controls(); ++i) {
+    system.Signal(system.control(i), SIGKILL);
+    system.Restart(&system.control(i));
+  }
+  Sleep(seconds(5));
+  const Reads later = ReadBack(world, newest, seconds(6));
+  world->record.Line("after a restart of all control processes, reads "
+                     "answered: " +
+                     std::to_string(later.answered));
+  return kBroken;
+}
+
 int Run(int argc, char** argv) {
   if (argc != 6) return kCouldNotRun;
   const std::string name = argv[1];
@@ -264,6 +425,11 @@
       return RunLostOpeningAnswer(&world, has_trouble);
     }
     if (name == "lost-requests") return RunLostRequests(&world, has_trouble);
+    const std::string orders = "orders-in-progress-";
+    if (name.rfind(orders, 0) == 0) {
+      const int routes = std::atoi(name.c_str() + orders.size());
+      return RunOrdersInProgress(&world, has_trouble, routes);
+    }
   } catch (const std::exception& error) {
     world.record.Line(std::string("couldn't run: ") + error.what());
   }
--- a/review/standins/system.cc
+++ b/review/standins/system.cc
@@ -67,9 +67,9 @@
          static_cast<std::uint32_t>(index);
 }
 
-void System::Start(int edges) {
-  const std::string zones[] = {"a", "b", "c"};
-  for (int i = 0; i < 3; ++i) {
+void System::Start(int edges, int controls) {
+  const std::string zones[] = {"a", "b", "c", "d"};
+  for (int i = 0; i < controls; ++i) {
     m_controls.push_back(
         {"core-" + zones[i] + "-1", zones[i], true, Ip(1, i + 1), 0});
   }
@@ -89,6 +89,7 @@
   const std::string ip = IpText(machine->ip);
   std::string seeds;
   for (const Machine& control : m_controls) {
+    if (control.ip >= m_controls.front().ip + 3) break;
     seeds += (seeds.empty() ? "\"" : ",\"") + IpText(control.ip) + ":" +
              std::to_string(kControlPort) + "\"";
   }
@@ -103,7 +104,7 @@
       << R"(","machineClass":")" << (machine->is_control ? "core" : "edge")
       << R"(","serves":[")" << role << R"("],"ip":")" << ip << R"(","zone":")"
       << machine->zone
-      << R"(","region":"r","zones":{"a":"r","b":"r","c":"r"},"listen":{)"
+      << R"(","region":"r","zones":{"a":"r","b":"r","c":"r","d":"r"},"listen":{)"
       << listen << R"(},"internalPorts":[7720,7735],"seeds":[)" << seeds
       << R"(],"bootstrap":)" << (is_first ? "true" : "false")
       << R"(,"lossCounts":)" << (machine->is_control ? "true" : "false")
@@ -164,7 +165,7 @@
   const Time end = Clock::now() + seconds(10);
   for (int i = 0; Clock::now() < end; ++i) {
     const HttpAnswer answer =
-        Call(ControlApi(i % 3), "POST", "/config/replace", text);
+        Call(ControlApi(i % controls()), "POST", "/config/replace", text);
     if (answer.status == 200) {
       m_record->Line("configuration acknowledged");
       return true;
--- a/review/standins/system.h
+++ b/review/standins/system.h
@@ -41,9 +41,9 @@
 
   // An address of this case: 127.NETWORK.`part`.`index`.
   std::uint32_t Ip(int part, int index) const;
-  // Starts 3 control machines, one in each zone, and `edges` edge machines in
-  // zone "a".
-  void Start(int edges);
+  // Starts `controls` (at most 4) control machines, each in a zone of its own,
+  // and `edges` edge machines in zone "a".
+  void Start(int edges, int controls = 3);
   void Signal(const Machine& machine, int number);
   // Reaps the machine's process and starts it again.
   void Restart(Machine* machine);
@@ -52,6 +52,7 @@
 
   Machine& control(int i) { return m_controls.at(static_cast<std::size_t>(i)); }
   Machine& edge(int i) { return m_edges.at(static_cast<std::size_t>(i)); }
+  int controls() const { return static_cast<int>(m_controls.size()); }
   int edges() const { return static_cast<int>(m_edges.size()); }
   Address ControlApi(int i) { return {control(i).ip, kControlPort}; }
 
