--- a/review/standins/main.cc
+++ b/review/standins/main.cc
@@ -187,35 +187,6 @@
   return world->Verdict();
 }
 
-// The network loses one SYN+ACK. Later an edge is restarted as planned.
-int RunLostOpeningAnswer(World* world, bool has_trouble) {
-  world->Start(2, 2, 40);
-  constexpr std::uint16_t kPort = 41000;
-  const auto is_lost_once = std::make_shared<bool>(false);
-  if (has_trouble) {
-    world->client->is_lost = [is_lost_once](const Packet& packet) {
-      if ((packet.flags & kSyn) == 0 || *is_lost_once) return false;
-      *is_lost_once = true;
-      return true;
-    };
-  }
-  world->OpenFlows(kPort, 1);
-  world->client->Request(kPort, "q1", false);
-  Sleep(milliseconds(300));
-  System& system = world->system;
-  Machine& edge = system.edge(
-      system.EdgeOf(world->client->AddressOf(kPort), world->Service()));
-  world->record.Line("planned restart of " + edge.name +
-                     ", through which the flow goes");
-  system.Signal(edge, SIGTERM);
-  // The flow's next request comes after a pause.
-  Sleep(milliseconds(3000));
-  world->client->Request(kPort, "q2", false);
-  Sleep(milliseconds(2500));
-  if (system.HasEnded(&edge)) system.Restart(&edge);
-  return world->Verdict();
-}
-
 // A link drops two packets at one moment: the first copies of two requests to
 // one host. Other flows of that host have no request in progress.
 int RunLostRequests(World* world, bool has_trouble) {
@@ -410,6 +381,47 @@
   return kBroken;
 }
 
+// A core machine is replaced. Later all control processes are killed at the
+// same moment, right after a heartbeat was acknowledged, and one of them loses
+// its disk. Without the trouble nothing was replaced before.
+int RunReplacedThenFinalFault(World* world, bool has_trouble) {
+  constexpr int kVersion = 7;
+  System& system = world->system;
+  system.Start(1, 3);
+  Sleep(milliseconds(1000));
+  if (!system.Configure(world->ConfigText(kVersion))) {
+    throw std::runtime_error("the configuration isn't acknowledged");
+  }
+  world->AddHost(0, 40);
+  Sleep(kInTouch);
+  if (has_trouble) {
+    system.ReplaceControl(2, milliseconds(2500));
+  } else {
+    Sleep(milliseconds(2500));
+  }
+  // The machine that is gone stops counting `catchUpS` (4 s) after its
+  // successor has started.
+  Sleep(seconds(10));
+  Reads reads = ReadBack(world, kVersion, seconds(5));
+  if (reads.answered == 0) throw std::runtime_error("no read before the fault");
+  const int heartbeats = world->all_hosts[0]->acknowledged();
+  const Time last = Clock::now() + seconds(3);
+  while (world->all_hosts[0]->acknowledged() == heartbeats &&
+         Clock::now() < last) {
+    Sleep(milliseconds(1));
+  }
+  world->record.Line("final fault, right after a heartbeat was acknowledged");
+  system.KillControls(0);
+  // `recoveryS` is 12 s.
+  Sleep(seconds(12));
+  reads = ReadBack(world, kVersion, seconds(25));
+  world->record.Line("CONFIG: reads answered after the final fault: " +
+                     std::to_string(reads.answered));
+  const bool is_broken = reads.answered == 0 || reads.older > 0;
+  world->record.Line(is_broken ? "CONFIG is broken" : "CONFIG held");
+  return is_broken ? kBroken : kHeld;
+}
+
 int Run(int argc, char** argv) {
   if (argc != 6) return kCouldNotRun;
   const std::string name = argv[1];
@@ -421,10 +433,10 @@
     if (name == "foreign-heartbeat") {
       return RunForeignHeartbeat(&world, has_trouble);
     }
-    if (name == "lost-opening-answer") {
-      return RunLostOpeningAnswer(&world, has_trouble);
-    }
     if (name == "lost-requests") return RunLostRequests(&world, has_trouble);
+    if (name == "replaced-then-final-fault") {
+      return RunReplacedThenFinalFault(&world, has_trouble);
+    }
     const std::string orders = "orders-in-progress-";
     if (name.rfind(orders, 0) == 0) {
       const int routes = std::atoi(name.c_str() + orders.size());
--- a/review/standins/system.cc
+++ b/review/standins/system.cc
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <filesystem>
 
 #include "http.h"
 
@@ -88,8 +89,9 @@
   mkdir((folder + "/data").c_str(), 0700);
   const std::string ip = IpText(machine->ip);
   std::string seeds;
+  int count = 0;
   for (const Machine& control : m_controls) {
-    if (control.ip >= m_controls.front().ip + 3) break;
+    if (++count > 3) break;
     seeds += (seeds.empty() ? "\"" : ",\"") + IpText(control.ip) + ":" +
              std::to_string(kControlPort) + "\"";
   }
@@ -161,6 +163,26 @@
   Launch(machine, false);
 }
 
+void System::ReplaceControl(int i, std::chrono::milliseconds after) {
+  Machine& machine = control(i);
+  Signal(machine, SIGKILL);
+  waitpid(machine.pid, nullptr, 0);
+  m_record->Line(machine.name + " is gone for good");
+  std::this_thread::sleep_for(after);
+  machine = {"core-" + machine.zone + "-2", machine.zone, true,
+             Ip(1, i + 101), 0};
+  Launch(&machine, false);
+}
+
+void System::KillControls(int lost) {
+  for (const Machine& machine : m_controls) Signal(machine, SIGKILL);
+  for (const Machine& machine : m_controls) waitpid(machine.pid, nullptr, 0);
+  const std::string data = m_folder + "/" + control(lost).name + "/data";
+  std::filesystem::remove_all(data);
+  m_record->Line(control(lost).name + " has lost its disk");
+  for (Machine& machine : m_controls) Launch(&machine, false);
+}
+
 bool System::Configure(const std::string& text) {
   const Time end = Clock::now() + seconds(10);
   for (int i = 0; Clock::now() < end; ++i) {
--- a/review/standins/system.h
+++ b/review/standins/system.h
@@ -47,6 +47,12 @@
   void Signal(const Machine& machine, int number);
   // Reaps the machine's process and starts it again.
   void Restart(Machine* machine);
+  // Takes a control machine away for good and starts an empty one in its zone,
+  // at another address, `after` later.
+  void ReplaceControl(int i, std::chrono::milliseconds after);
+  // Kills all control processes at the same moment. Control `lost` loses its
+  // disk. All are started again at once.
+  void KillControls(int lost);
   // Whether the process has ended; reaps it.
   bool HasEnded(Machine* machine);
 
