--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,7 +5,7 @@
 [ -x ../bin/standins ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -s KILL 100 ../bin/standins replaced-then-final-fault "$(cd ../.. && pwd)" "$folder" \
+timeout -s KILL 100 ../bin/standins second-disk "$(cd ../.. && pwd)" "$folder" \
   "$PWD/record.txt" "${TROUBLE:-1}"
 code=$?
 [ "$code" -le 2 ] || code=2
--- a/review/standins/main.cc
+++ b/review/standins/main.cc
@@ -381,29 +381,24 @@
   return kBroken;
 }
 
-// A core machine is replaced. Later all control processes are killed at the
-// same moment, right after a heartbeat was acknowledged, and one of them loses
-// its disk. Without the trouble nothing was replaced before.
-int RunReplacedThenFinalFault(World* world, bool has_trouble) {
+// A core machine loses its disk right after a configuration was acknowledged
+// and joins again. Later all control processes are killed at the same moment,
+// right after a heartbeat was acknowledged, and another one loses its disk.
+// Without the trouble the first disk isn't lost.
+int RunSecondDisk(World* world, bool has_trouble) {
   constexpr int kVersion = 7;
   System& system = world->system;
-  system.Start(1, 3);
-  Sleep(milliseconds(1000));
-  if (!system.Configure(world->ConfigText(kVersion))) {
-    throw std::runtime_error("the configuration isn't acknowledged");
-  }
+  system.Start(1, 4);
   world->AddHost(0, 40);
   Sleep(kInTouch);
-  if (has_trouble) {
-    system.ReplaceControl(2, milliseconds(2500));
-  } else {
-    Sleep(milliseconds(2500));
+  if (!system.Configure(world->ConfigText(kVersion))) {
+    throw std::runtime_error("the configuration isn't acknowledged");
   }
-  // The machine that is gone stops counting `catchUpS` (4 s) after its
-  // successor has started.
-  Sleep(seconds(10));
+  if (has_trouble) system.LoseDisk(0);
+  // The machine stops counting as lost `catchUpS` (4 s) after it is back.
+  Sleep(seconds(12));
   Reads reads = ReadBack(world, kVersion, seconds(5));
-  if (reads.answered == 0) throw std::runtime_error("no read before the fault");
+  if (reads.answered < 8) throw std::runtime_error("no read before the fault");
   const int heartbeats = world->all_hosts[0]->acknowledged();
   const Time last = Clock::now() + seconds(3);
   while (world->all_hosts[0]->acknowledged() == heartbeats &&
@@ -411,7 +406,7 @@
     Sleep(milliseconds(1));
   }
   world->record.Line("final fault, right after a heartbeat was acknowledged");
-  system.KillControls(0);
+  system.KillControls(1);
   // `recoveryS` is 12 s.
   Sleep(seconds(12));
   reads = ReadBack(world, kVersion, seconds(25));
@@ -434,9 +429,7 @@
       return RunForeignHeartbeat(&world, has_trouble);
     }
     if (name == "lost-requests") return RunLostRequests(&world, has_trouble);
-    if (name == "replaced-then-final-fault") {
-      return RunReplacedThenFinalFault(&world, has_trouble);
-    }
+    if (name == "second-disk") return RunSecondDisk(&world, has_trouble);
     const std::string orders = "orders-in-progress-";
     if (name.rfind(orders, 0) == 0) {
       const int routes = std::atoi(name.c_str() + orders.size());
--- a/review/standins/system.cc
+++ b/review/standins/system.cc
@@ -163,26 +163,26 @@
   Launch(machine, false);
 }
 
-void System::ReplaceControl(int i, std::chrono::milliseconds after) {
+void System::LoseDisk(int i) {
   Machine& machine = control(i);
   Signal(machine, SIGKILL);
   waitpid(machine.pid, nullptr, 0);
-  m_record->Line(machine.name + " is gone for good");
-  std::this_thread::sleep_for(after);
-  machine = {"core-" + machine.zone + "-2", machine.zone, true,
-             Ip(1, i + 101), 0};
+  EraseDisk(machine);
   Launch(&machine, false);
 }
 
 void System::KillControls(int lost) {
   for (const Machine& machine : m_controls) Signal(machine, SIGKILL);
   for (const Machine& machine : m_controls) waitpid(machine.pid, nullptr, 0);
-  const std::string data = m_folder + "/" + control(lost).name + "/data";
-  std::filesystem::remove_all(data);
-  m_record->Line(control(lost).name + " has lost its disk");
+  EraseDisk(control(lost));
   for (Machine& machine : m_controls) Launch(&machine, false);
 }
 
+void System::EraseDisk(const Machine& machine) {
+  std::filesystem::remove_all(m_folder + "/" + machine.name + "/data");
+  m_record->Line(machine.name + " has lost its disk");
+}
+
 bool System::Configure(const std::string& text) {
   const Time end = Clock::now() + seconds(10);
   for (int i = 0; Clock::now() < end; ++i) {
--- a/review/standins/system.h
+++ b/review/standins/system.h
@@ -47,9 +47,8 @@
   void Signal(const Machine& machine, int number);
   // Reaps the machine's process and starts it again.
   void Restart(Machine* machine);
-  // Takes a control machine away for good and starts an empty one in its zone,
-  // at another address, `after` later.
-  void ReplaceControl(int i, std::chrono::milliseconds after);
+  // Control machine `i` loses its disk and starts again with an empty one.
+  void LoseDisk(int i);
   // Kills all control processes at the same moment. Control `lost` loses its
   // disk. All are started again at once.
   void KillControls(int lost);
@@ -74,6 +73,7 @@
 
  private:
   void Launch(Machine* machine, bool is_first);
+  void EraseDisk(const Machine& machine);
   void Probe();
 
   const std::string m_root;
