A decided change of the members is durable at every member

No read was confirmed and no change accepted any more, for good.

Cause: Replica::Core::Decide applied a change of the members in memory and only buffered its record. The record was synced with the next vote, which came with the next change of the configuration. After the kill the old member list was back: it counted the store that was lost first, and with the disk that was lost last two of four votes remained.

Evidence: the new log event `members` (log index, own store, store of each member). Without the fix core-a-1 and core-c-1 log log_index=5 with the new store before the kill and, after the start, log_index=4 with the old one; core-a-1 is then `joining` for good. Ruled out by it: that the join was not decided, and that the two disks which were kept had lost votes.

Fix: Decide asks for a sync if the members changed. Every member then knows from its own disk who the members are, long before the VM that joined counts as recovered; what is lost next is counted among the members that the others know.

--- a/include/sardinelead/replica.h
+++ b/include/sardinelead/replica.h
@@ -144,8 +144,11 @@
   ReplicaRole role = ReplicaRole::kStarting;
   std::uint64_t cluster = 0;
   std::uint64_t log_index = 0;
+  std::uint64_t store = 0;  // Identifies this replica's data folder.
   // The members, and whether each has joined with a store of its own.
   std::map<NodeId, bool> members;
+  // The store that each member votes from; 0 until it has joined.
+  std::map<NodeId, std::uint64_t> stores;
   // How long this replica may have been missing decided values: the time since
   // it last received messages from a quorum.
   Duration staleness{};
--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -104,12 +104,8 @@
   }
   Dispatch(m_replica->OnTick(now), now);
   Flush(now);
-  const ReplicaRole role = m_replica->Status(now).role;
-  if (role != m_role) {
-    m_role = role;
-    m_hooks.on_role(role);
-  }
-  const bool must_restart = role == ReplicaRole::kFaulty && !m_restart_at;
+  ReportChanges(m_replica->Status(now));
+  const bool must_restart = m_role == ReplicaRole::kFaulty && !m_restart_at;
   if (must_restart) m_restart_at = now + m_settings.restart_interval;
   m_directory.RemoveSilent(m_settings.target_retention, now);
   m_hooks.send(m_publisher.OnTick(now));
@@ -117,6 +113,16 @@
   SaveTargets(now);
 }
 
+void ControlPlane::ReportChanges(const ReplicaStatus& status) {
+  if (status.role != m_role) {
+    m_role = status.role;
+    m_hooks.on_role(status.role);
+  }
+  if (status.stores == m_stores) return;
+  m_stores = status.stores;
+  m_hooks.on_members(status);
+}
+
 void ControlPlane::SetContacts(const std::vector<NodeId>& contacts) {
   m_settings.replica.contacts = contacts;
   m_replica->SetContacts(contacts);
--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -48,6 +49,8 @@
     std::function<Result<RouteTable>(const Document& document)> read_routes;
     std::function<void(Outbox messages)> send;
     std::function<void(ReplicaRole role)> on_role;
+    // Called after the members, or the stores that they vote from, changed.
+    std::function<void(const ReplicaStatus& status)> on_members;
     std::function<void(const RouteTable& routes)> on_routes;
     std::function<void(const Error& error)> on_error;
   };
@@ -86,6 +89,7 @@
   Result<void> StartReplica(TimePoint now);
   void Dispatch(ReplicaOutput output, TimePoint now);
   void UpdateRoutes(TimePoint now);
+  void ReportChanges(const ReplicaStatus& status);
   FeedFollower::Hooks FollowerHooks() const;
   void LoadTargets(TimePoint now);
   void SaveTargets(TimePoint now);
@@ -105,6 +109,7 @@
   std::unordered_map<std::uint64_t, OnOutcome> m_pending;
   std::uint64_t m_last_request_id = 0;
   ReplicaRole m_role = ReplicaRole::kStarting;
+  std::map<NodeId, std::uint64_t> m_stores;
   std::optional<TimePoint> m_restart_at;
 };
 
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -378,6 +378,8 @@
   status.role = Role();
   status.cluster = m_cluster;
   status.log_index = m_state.index();
+  status.store = m_store;
+  status.stores = m_state.members();
   std::vector<TimePoint> heard;
   for (const auto& [member, store] : m_state.members()) {
     status.members[member] = store != 0;
--- a/src/replica_learner.cc
+++ b/src/replica_learner.cc
@@ -25,6 +25,10 @@
                ballot, is_accepted ? Bytes{} : value);
   const auto members = m_state.members();
   const auto outcomes = m_state.Apply(value);
+  // The votes for a change of the members are held by the old members only. If
+  // some of these are lost, the rest may be no quorum of the old members, so
+  // every member must remember by itself that the change was decided.
+  m_needs_sync = m_needs_sync || members != m_state.members();
   m_acceptor = {m_acceptor.promised, Ballot{}, {}};
   m_recent_bytes += value.size();
   m_recent_values.push_back({m_state.index(), std::move(value)});
--- a/tests/control_plane_test.cc
+++ b/tests/control_plane_test.cc
@@ -204,6 +204,7 @@
       m_sent.insert(m_sent.end(), messages.begin(), messages.end());
     };
     hooks.on_role = [](ReplicaRole) {};
+    hooks.on_members = [](const ReplicaStatus&) {};
     hooks.on_routes = [this](const RouteTable& routes) {
       m_routes_version = routes.version.value;
     };
--- a/tests/replica_members_test.cc
+++ b/tests/replica_members_test.cc
@@ -36,6 +36,9 @@
   CPPUNIT_TEST(CutOffMemberJoinsAgain);
   CPPUNIT_TEST(PausedReplicaRemovesNoRunningMember);
   CPPUNIT_TEST(RemovalOfAnOlderStoreIsRefused);
+  CPPUNIT_TEST(DisksLostLongAfterARejoinKeepQuorum);
+  CPPUNIT_TEST(DisksLostLongAfterAReplacementKeepQuorum);
+  CPPUNIT_TEST(DisksLostLongAfterARemovalKeepQuorum);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -307,6 +310,93 @@
     CPPUNIT_ASSERT(cluster->answers[1].kind == OutcomeKind::kRefused);
     AssertMembers(cluster.get(), 1, Range(1, 4));
   }
+
+  static void LoseDisk(TestCluster* cluster, std::uint32_t id) {
+    cluster->Stop(NodeId{id});
+    cluster->nodes[NodeId{id}].disk.Erase();
+    cluster->Start(NodeId{id});
+  }
+
+  // Kills all running replicas at once, erases the disks of `lost`, restarts
+  // all and asserts that they decide again.
+  static void AssertSurvivesFinalFault(TestCluster* cluster,
+                                       const std::set<NodeId>& lost,
+                                       const std::string& message) {
+    std::set<NodeId> running;
+    for (const auto& [id, node] : cluster->nodes) {
+      if (node.replica) running.insert(id);
+    }
+    for (const NodeId id : running) cluster->Stop(id);
+    for (const NodeId id : lost) cluster->nodes[id].disk.Erase();
+    for (const NodeId id : running) cluster->Start(id);
+    CPPUNIT_ASSERT_MESSAGE(message, cluster->RunUntilVoting());
+    AssertDecides(cluster, running.rbegin()->value, 9);
+  }
+
+  static std::string Describe(const Size& size, std::uint64_t seed) {
+    return std::to_string(size.members) + " members, seed " +
+           std::to_string(seed);
+  }
+
+  // Guards against a lost quorum: replicas lost their disks and joined again;
+  // long after, all are killed and others lose theirs (review, case 1).
+  void DisksLostLongAfterARejoinKeepQuorum() {
+    for (const Size& size : kSizes) {
+      for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        const auto cluster = MakeCluster(size, seed);
+        AssertDecides(cluster.get(), 1, 5);
+        std::set<NodeId> lost;
+        for (std::uint32_t i = 1; i <= size.tolerated_losses; ++i) {
+          LoseDisk(cluster.get(), i);
+          lost.insert(NodeId{size.tolerated_losses + i});
+        }
+        cluster->Run(kCatchUp);
+        AssertSurvivesFinalFault(cluster.get(), lost, Describe(size, seed));
+      }
+    }
+  }
+
+  // The same after a crashed replica was replaced by another one.
+  void DisksLostLongAfterAReplacementKeepQuorum() {
+    for (const Size& size : kSizes) {
+      for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        const auto cluster = MakeCluster(size, seed);
+        AssertDecides(cluster.get(), 1, 5);
+        cluster->Stop(NodeId{1});
+        cluster->Run(milliseconds(300));
+        cluster->Start(NodeId{size.members + 1});
+        cluster->Run(kCatchUp);
+        cluster->settings.contacts = {NodeId{size.members + 1}, NodeId{2},
+                                      NodeId{3}};
+        std::set<NodeId> lost;
+        for (std::uint32_t i = 1; i <= size.tolerated_losses; ++i) {
+          lost.insert(NodeId{1 + i});
+        }
+        AssertSurvivesFinalFault(cluster.get(), lost, Describe(size, seed));
+      }
+    }
+  }
+
+  // The same after surplus members have left for good.
+  void DisksLostLongAfterARemovalKeepQuorum() {
+    for (const Size& size : kSizes) {
+      for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        const auto cluster = MakeCluster(size, seed);
+        AssertDecides(cluster.get(), 1, 5);
+        const auto min_members =
+            static_cast<std::uint32_t>(cluster->settings.min_members);
+        for (std::uint32_t id = size.members; id > min_members; --id) {
+          StopPlanned(cluster.get(), id);
+        }
+        cluster->Run(kCatchUp);
+        std::set<NodeId> lost;
+        for (std::uint32_t i = 1; i <= size.tolerated_losses; ++i) {
+          lost.insert(NodeId{i});
+        }
+        AssertSurvivesFinalFault(cluster.get(), lost, Describe(size, seed));
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaMembersTest);
