Announcements for pools that are not configured end no target

Cause: TargetDirectory lets the target that started last have an address, so that addresses can be used again, and applied this to any announcement that could be decoded. Neither the codec nor the directory compared the service with the configuration. The directories of the edges did the same with the feed.

Evidence: target-news for pool=batch-agent with the host's address at the control VM, then flow-reset reason=target-ended at the edges. The step between had no line; the event `target-replaced` names both targets from now on.

Fix: a directory knows the configured pools (SetPools, with each version of the routes). An announcement for another pool is kept but ends nothing; when its pool is configured it counts. It cannot take over the number of a target either (effect `foreign`), and gives way if it came first. Refusing such heartbeats at the control VM instead was ruled out: a VM whose configuration lags, or that has none yet, would refuse or lose what living hosts say. Conflicts are found by an index of the addresses in place of a pass over all targets.

Tests that reuse an address now configure their pools first and assert the same as before.

--- a/include/sardinelead/route_table.h
+++ b/include/sardinelead/route_table.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -60,6 +61,7 @@
   void BuildIndex();
   // Returns nullptr if no route has this address. Costs one hash lookup.
   const Route* Find(const Endpoint& address) const;
+  std::set<std::string> PoolNames() const;
 
  private:
   std::unordered_map<Endpoint, std::size_t, EndpointHash> m_by_address;
--- a/include/sardinelead/target_directory.h
+++ b/include/sardinelead/target_directory.h
@@ -9,14 +9,23 @@
 // and delivery by several paths give the same result. Of two targets with the
 // same address, only the one that started last still exists.
 //
+// An announcement for a pool that is not configured may come from a program
+// that is no target at all. It is kept, since the pool may be configured later,
+// but it changes nothing about other targets: it neither ends a target with the
+// same address, nor replaces the announcement of a configured pool with the
+// same number. Until SetPools() is called, no pool is configured.
+//
 // The owner defines the clock: a balancer passes FeedFollower::CoveredTime(),
 // which advances only while heartbeats of targets can be reported to it. Not
 // thread-safe.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "sardinelead/types.h"
@@ -51,6 +60,8 @@
   kStale,    // Older than the known announcement; ignored.
   kRenewed,  // The target is alive; nothing relevant changed.
   kChanged,  // A field that balancers act on changed.
+  kForeign,  // For a pool that is not configured, with the number of a target
+             // of a configured one; ignored.
 };
 const char* Name(AnnouncementEffect effect);
 
@@ -65,6 +76,18 @@
     std::uint64_t revision = 0;
   };
 
+  // Called when a target is found to have ended because `successor`, which
+  // started later, has its address.
+  using OnReplaced = std::function<void(const TargetAnnouncement& ended,
+                                        const TargetAnnouncement& successor)>;
+
+  TargetDirectory();
+  explicit TargetDirectory(OnReplaced on_replaced);
+
+  // Sets the names of the configured pools, and applies the announcements for
+  // pools that were not configured before.
+  void SetPools(std::set<std::string> pools, TimePoint now);
+
   AnnouncementEffect Take(const TargetAnnouncement& received,
                           TimePoint heard_at);
   // Records that a heartbeat without an announcement arrived at `heard_at`.
@@ -86,12 +109,18 @@
   AnnouncementEffect Replace(Entry* entry,
                              const TargetAnnouncement& announcement,
                              TimePoint heard_at);
-  void ResolveAddressConflict(Entry* entry, TimePoint now);
-  void MarkEnded(Entry* entry, TimePoint now);
+  bool IsConfigured(const TargetAnnouncement& announcement) const {
+    return m_pools.count(announcement.pool) != 0;
+  }
+  void ResolveAddressConflicts(Entry* entry, TimePoint now);
+  void ResolveAddressConflict(Entry* entry, Entry* other, TimePoint now);
 
+  OnReplaced m_on_replaced;
+  std::set<std::string> m_pools;
   std::uint64_t m_revision = 0;
   std::map<std::uint64_t, Entry> m_entries;  // By number.
   std::multimap<std::uint32_t, std::uint64_t> m_by_cookie;
+  std::unordered_multimap<Endpoint, std::uint64_t, EndpointHash> m_by_address;
 };
 
 }  // namespace sardinelead
--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -9,6 +9,7 @@
 ControlPlane::ControlPlane(ControlPlaneSettings settings, Hooks hooks)
     : m_settings(std::move(settings)),
       m_hooks(std::move(hooks)),
+      m_directory(m_hooks.on_target_replaced),
       m_publisher(m_settings.feed, m_settings.epoch, &m_directory,
                   {[this] {
                      std::vector<NodeId> members;
@@ -156,6 +157,7 @@
     return;
   }
   m_routes.bytes = std::make_shared<const Bytes>(EncodeRouteTable(*routes));
+  m_directory.SetPools(routes->PoolNames(), now);
   m_hooks.on_routes(*routes);
   m_hooks.send(m_publisher.OnTick(now));
 }
@@ -214,7 +216,9 @@
 AnnouncementEffect ControlPlane::Take(const TargetAnnouncement& report,
                                       TimePoint now) {
   const AnnouncementEffect effect = m_directory.Take(report, now);
-  if (effect == AnnouncementEffect::kStale) return effect;
+  const bool is_ignored = effect == AnnouncementEffect::kStale ||
+                          effect == AnnouncementEffect::kForeign;
+  if (is_ignored) return effect;
   // The publisher sends the change on its next tick, batched with others.
   m_publisher.OnTargetAnnounced(report.number,
                                 effect == AnnouncementEffect::kChanged, now);
--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -52,6 +52,7 @@
     // Called after the members, or the stores that they vote from, changed.
     std::function<void(const ReplicaStatus& status)> on_members;
     std::function<void(const RouteTable& routes)> on_routes;
+    TargetDirectory::OnReplaced on_target_replaced;
     std::function<void(const Error& error)> on_error;
   };
   using OnOutcome = std::function<void(const Outcome& outcome)>;
--- a/src/route_table.cc
+++ b/src/route_table.cc
@@ -112,6 +112,12 @@
   return found == m_by_address.end() ? nullptr : &routes[found->second];
 }
 
+std::set<std::string> RouteTable::PoolNames() const {
+  std::set<std::string> names;
+  for (const Pool& pool : pools) names.insert(pool.name);
+  return names;
+}
+
 Result<void> Check(const RouteTable& table) {
   std::set<std::string> pools;
   for (std::size_t i = 0; i < table.pools.size(); ++i) {
--- a/src/target_directory.cc
+++ b/src/target_directory.cc
@@ -18,6 +18,17 @@
          a.data_centre == b.data_centre && a.slots == b.slots;
 }
 
+// Removes the entry of target `number` under `key`.
+template <typename Index, typename Key>
+void RemoveFromIndex(const Key& key, std::uint64_t number, Index* index) {
+  const auto [begin, end] = index->equal_range(key);
+  for (auto it = begin; it != end; ++it) {
+    if (it->second != number) continue;
+    index->erase(it);
+    return;
+  }
+}
+
 }  // namespace
 
 const char* Name(AnnouncedState state) {
@@ -40,6 +51,8 @@
       return "renewed";
     case AnnouncementEffect::kChanged:
       return "changed";
+    case AnnouncementEffect::kForeign:
+      return "foreign";
   }
   return "unknown";
 }
@@ -51,6 +64,19 @@
   return std::max<std::uint32_t>(low, 1);
 }
 
+TargetDirectory::TargetDirectory()
+    : TargetDirectory(
+          [](const TargetAnnouncement&, const TargetAnnouncement&) {}) {}
+
+TargetDirectory::TargetDirectory(OnReplaced on_replaced)
+    : m_on_replaced(std::move(on_replaced)) {}
+
+void TargetDirectory::SetPools(std::set<std::string> pools, TimePoint now) {
+  if (pools == m_pools) return;
+  m_pools = std::move(pools);
+  for (auto& [number, entry] : m_entries) ResolveAddressConflicts(&entry, now);
+}
+
 AnnouncementEffect TargetDirectory::Take(const TargetAnnouncement& received,
                                          TimePoint heard_at) {
   const auto [found, is_new] = m_entries.try_emplace(received.number);
@@ -59,6 +85,12 @@
     m_by_cookie.emplace(CookieOf(received.number), received.number);
     return Replace(entry, received, heard_at);
   }
+  const bool was_configured = IsConfigured(entry->announcement);
+  const bool is_configured = IsConfigured(received);
+  if (was_configured && !is_configured) return AnnouncementEffect::kForeign;
+  if (is_configured && !was_configured) {
+    return Replace(entry, received, heard_at);
+  }
   if (IsOlder(received, entry->announcement)) return AnnouncementEffect::kStale;
   const bool is_ended = entry->announcement.state == AnnouncedState::kEnded &&
                         entry->announcement.started_ms == received.started_ms;
@@ -74,35 +106,46 @@
 
 AnnouncementEffect TargetDirectory::Replace(
     Entry* entry, const TargetAnnouncement& announcement, TimePoint heard_at) {
+  const Endpoint previous_address = entry->announcement.address;
+  if (previous_address != announcement.address) {
+    RemoveFromIndex(previous_address, announcement.number, &m_by_address);
+    m_by_address.emplace(announcement.address, announcement.number);
+  }
   entry->announcement = announcement;
   entry->heard_at = std::max(entry->heard_at, heard_at);
   entry->warm_at = heard_at + announcement.warm_up_left;
   entry->revision = ++m_revision;
   if (announcement.state == AnnouncedState::kEnded) entry->ended_at = heard_at;
-  ResolveAddressConflict(entry, heard_at);
+  ResolveAddressConflicts(entry, heard_at);
   return AnnouncementEffect::kChanged;
 }
 
-// Ends all targets with the entry's address except the one that started last.
-void TargetDirectory::ResolveAddressConflict(Entry* entry, TimePoint now) {
-  for (auto& [number, other] : m_entries) {
-    const bool is_conflicting =
-        &other != entry &&
-        other.announcement.address == entry->announcement.address &&
-        other.announcement.state != AnnouncedState::kEnded &&
-        entry->announcement.state != AnnouncedState::kEnded;
-    if (!is_conflicting) continue;
-    MarkEnded(other.announcement.started_ms < entry->announcement.started_ms
-                  ? &other
-                  : entry,
-              now);
+void TargetDirectory::ResolveAddressConflicts(Entry* entry, TimePoint now) {
+  const auto [begin, end] =
+      m_by_address.equal_range(entry->announcement.address);
+  for (auto it = begin; it != end; ++it) {
+    if (it->second == entry->announcement.number) continue;
+    ResolveAddressConflict(entry, &m_entries.at(it->second), now);
   }
 }
 
-void TargetDirectory::MarkEnded(Entry* entry, TimePoint now) {
-  entry->announcement.state = AnnouncedState::kEnded;
-  entry->ended_at = now;
-  entry->revision = ++m_revision;
+// Ends the one of two targets with the same address that started first, if the
+// other one belongs to a configured pool.
+void TargetDirectory::ResolveAddressConflict(Entry* entry, Entry* other,
+                                             TimePoint now) {
+  const bool is_conflicting =
+      entry->announcement.state != AnnouncedState::kEnded &&
+      other->announcement.state != AnnouncedState::kEnded;
+  if (!is_conflicting) return;
+  const bool is_other_older =
+      other->announcement.started_ms < entry->announcement.started_ms;
+  Entry* ended = is_other_older ? other : entry;
+  const Entry* successor = is_other_older ? entry : other;
+  if (!IsConfigured(successor->announcement)) return;
+  ended->announcement.state = AnnouncedState::kEnded;
+  ended->ended_at = now;
+  ended->revision = ++m_revision;
+  m_on_replaced(ended->announcement, successor->announcement);
 }
 
 void TargetDirectory::Renew(std::uint32_t cookie, TimePoint heard_at) {
@@ -120,12 +163,8 @@
       ++it;
       continue;
     }
-    const auto [begin, end] = m_by_cookie.equal_range(CookieOf(it->first));
-    for (auto cookie = begin; cookie != end; ++cookie) {
-      if (cookie->second != it->first) continue;
-      m_by_cookie.erase(cookie);
-      break;
-    }
+    RemoveFromIndex(CookieOf(it->first), it->first, &m_by_cookie);
+    RemoveFromIndex(it->second.announcement.address, it->first, &m_by_address);
     it = m_entries.erase(it);
   }
 }
--- a/tests/control_plane_test.cc
+++ b/tests/control_plane_test.cc
@@ -205,6 +205,8 @@
     };
     hooks.on_role = [](ReplicaRole) {};
     hooks.on_members = [](const ReplicaStatus&) {};
+    hooks.on_target_replaced = [](const TargetAnnouncement&,
+                                  const TargetAnnouncement&) {};
     hooks.on_routes = [this](const RouteTable& routes) {
       m_routes_version = routes.version.value;
     };
--- a/tests/cookie_balancer_test.cc
+++ b/tests/cookie_balancer_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(DrainingAndSilentTargetsTakeNoNewFlows);
   CPPUNIT_TEST(SilentTargetsAreUsedWhereThereAreNoOthers);
   CPPUNIT_TEST(EndedTargetResetsAfterItsGrace);
+  CPPUNIT_TEST(EntryOfAnUnknownPoolResetsNoFlow);
   CPPUNIT_TEST(NewFlowsWithoutARouteAreRefusedAtOnce);
   CPPUNIT_TEST(RemovedRouteEndsItsFlowsUnknownOneDoesNot);
   CPPUNIT_TEST(OlderRoutesAreIgnored);
@@ -242,6 +243,22 @@
     CPPUNIT_ASSERT(late.reason == ForwardReason::kTargetEnded);
   }
 
+  // Guards against resets of a living target's flows after a heartbeat for a
+  // service that is not configured, at its address (review, case 4).
+  void EntryOfAnUnknownPoolResetsNoFlow() {
+    AddTarget(9, "10.0.0.1:80", 500, "batch-agent");
+    m_now += 2 * kSecond;
+    const Forwarding next =
+        m_balancer.OnPacket(Data(1, CookieOf(1), 1), {}, m_now);
+    CPPUNIT_ASSERT(next.action == ForwardAction::kForward);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, next.target);
+    std::set<std::uint64_t> used;
+    for (std::uint16_t port = 100; port < 150; ++port) {
+      used.insert(m_balancer.OnPacket(Opening(port), kSyn, m_now).target);
+    }
+    CPPUNIT_ASSERT(used == (std::set<std::uint64_t>{1, 2}));
+  }
+
   void NewFlowsWithoutARouteAreRefusedAtOnce() {
     FlowPacket packet = Opening(1);
     packet.flow.service.port = 9;
@@ -380,6 +397,7 @@
     }
     table->BuildIndex();
     m_routes = table;
+    m_directory.SetPools(table->PoolNames(), m_now);
     m_balancer.SetRoutes(m_routes);
   }
 
--- a/tests/target_directory_test.cc
+++ b/tests/target_directory_test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Duration kSecond = std::chrono::seconds(1);
+const std::set<std::string> kPools = {"orders", "gallery"};
 
 TargetAnnouncement MakeNews(std::uint64_t number, std::uint64_t started,
                             std::uint64_t sequence, const char* address) {
@@ -32,9 +33,14 @@
   CPPUNIT_TEST(DelayedNewsDoesNotReviveAnEndedTarget);
   CPPUNIT_TEST(RenewalKeepsTheRevision);
   CPPUNIT_TEST(SilentTargetsAreForgotten);
+  CPPUNIT_TEST(EntryOfAnUnknownPoolEndsNoTarget);
+  CPPUNIT_TEST(EntryOfAnUnknownPoolReplacesNoTarget);
+  CPPUNIT_TEST(PoolThatIsConfiguredLaterTakesItsAddress);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void setUp() override { m_directory.SetPools(kPools, m_now); }
+
   void StaleNewsIsIgnored() {
     TargetAnnouncement draining = MakeNews(1, 100, 5, "10.0.0.1:80");
     draining.state = AnnouncedState::kDraining;
@@ -82,6 +88,7 @@
     new_target.pool = "gallery";
     for (const bool is_old_first : {true, false}) {
       TargetDirectory directory;
+      directory.SetPools(kPools, m_now);
       directory.Take(is_old_first ? old_target : new_target, m_now);
       directory.Take(is_old_first ? new_target : old_target, m_now);
       CPPUNIT_ASSERT(directory.Find(1)->announcement.state ==
@@ -124,6 +131,77 @@
     m_directory.RemoveSilent(10 * kSecond, m_now + 10 * kSecond);
     CPPUNIT_ASSERT(m_directory.Find(1) == nullptr);
     CPPUNIT_ASSERT(m_directory.FindByCookie(CookieOf(1)) == nullptr);
+    // The address is free again.
+    m_directory.Take(MakeNews(2, 50, 1, "10.0.0.1:80"), m_now + 10 * kSecond);
+    CPPUNIT_ASSERT(StateOf(2) == AnnouncedState::kReady);
+  }
+
+  static TargetAnnouncement MakeForeignNews(std::uint64_t number,
+                                            std::uint64_t started) {
+    TargetAnnouncement foreign = MakeNews(number, started, 1, "10.0.0.1:80");
+    foreign.pool = "batch-agent";
+    return foreign;
+  }
+
+  // Guards against living targets that are ended by a heartbeat for a service
+  // that is not configured, at their address (review, case 4).
+  void EntryOfAnUnknownPoolEndsNoTarget() {
+    const TargetAnnouncement living = MakeNews(1, 100, 9, "10.0.0.1:80");
+    for (const bool is_foreign_first : {false, true}) {
+      // The configuration may arrive after the announcements.
+      for (const bool is_configured_first : {false, true}) {
+        int replaced = 0;
+        TargetDirectory directory(
+            [&replaced](const TargetAnnouncement&, const TargetAnnouncement&) {
+              ++replaced;
+            });
+        if (is_configured_first) directory.SetPools(kPools, m_now);
+        if (!is_foreign_first) directory.Take(living, m_now);
+        directory.Take(MakeForeignNews(2, 500), m_now);
+        if (is_foreign_first) directory.Take(living, m_now);
+        directory.SetPools(kPools, m_now);
+        CPPUNIT_ASSERT(directory.Find(1)->announcement.state ==
+                       AnnouncedState::kReady);
+        const TargetAnnouncement next = MakeNews(1, 100, 10, "10.0.0.1:80");
+        CPPUNIT_ASSERT(directory.Take(next, m_now) ==
+                       AnnouncementEffect::kRenewed);
+        CPPUNIT_ASSERT_EQUAL(0, replaced);
+      }
+    }
+  }
+
+  // The same fault by way of the target's own number.
+  void EntryOfAnUnknownPoolReplacesNoTarget() {
+    const TargetAnnouncement living = MakeNews(1, 100, 9, "10.0.0.1:80");
+    m_directory.Take(living, m_now);
+    CPPUNIT_ASSERT(m_directory.Take(MakeForeignNews(1, 500), m_now) ==
+                   AnnouncementEffect::kForeign);
+    CPPUNIT_ASSERT_EQUAL(std::string("orders"),
+                         m_directory.Find(1)->announcement.pool);
+    // It came first, and claims to have started later.
+    m_directory.Take(MakeForeignNews(3, 500), m_now);
+    m_directory.Take(MakeNews(3, 100, 1, "10.0.0.3:80"), m_now);
+    CPPUNIT_ASSERT_EQUAL(std::string("orders"),
+                         m_directory.Find(3)->announcement.pool);
+  }
+
+  void PoolThatIsConfiguredLaterTakesItsAddress() {
+    std::vector<std::uint64_t> ended;
+    TargetDirectory directory([&ended](const TargetAnnouncement& target,
+                                       const TargetAnnouncement& successor) {
+      ended.push_back(target.number);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, successor.number);
+    });
+    directory.SetPools(kPools, m_now);
+    directory.Take(MakeNews(1, 100, 9, "10.0.0.1:80"), m_now);
+    directory.Take(MakeForeignNews(2, 500), m_now);
+    const std::uint64_t revision = directory.revision();
+    directory.SetPools({"orders", "gallery", "batch-agent"}, m_now + kSecond);
+    const TargetDirectory::Entry* entry = directory.Find(1);
+    CPPUNIT_ASSERT(entry->announcement.state == AnnouncedState::kEnded);
+    CPPUNIT_ASSERT(entry->ended_at == m_now + kSecond);
+    CPPUNIT_ASSERT(entry->revision > revision);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ended.size());
   }
 
  private:
