A replica without state joins by way of the members that call it

What callers would see: nothing at first. Two of five control VMs whose disks were lost stay `joining` for good, and the next loss leaves no quorum.

Cause: a replica without state asks its contacts only. If these are the control VMs of the first start, one of them replaced since and the others without disks as well, none is a member. The members' heartbeats reach it but are refused: it knows no cluster, and the senders are no contacts.

Fix: without state, a heartbeat of a cluster is an invitation. The replica asks its sender for the log and counts it among its peers, up to max_members.

LostDiskWithOutdatedContactsJoinsAgain fails without the fix in the same way and passes with it; all 40 tests of Replica* pass.

--- a/src/replica.cc
+++ b/src/replica.cc
@@ -255,6 +255,8 @@
       return message.cluster == 0;
     case AgreementType::kSnapshot:
       return m_cluster == 0;
+    case AgreementType::kHeartbeat:
+      return m_cluster == 0 && message.cluster != 0;
     default:
       return false;
   }
@@ -267,7 +269,9 @@
 }
 
 // Requests are accepted from any sender, all other messages only from known
-// peers. A replica with a failed disk handles requests only.
+// peers. A replica without state also accepts heartbeats from any sender: only
+// replicas that hold it for a member or a contact send them. A replica with a
+// failed disk handles requests only.
 bool Replica::Core::IsPermitted(NodeId from,
                                 const AgreementMessage& message) const {
   if (!MatchesCluster(message)) return false;
@@ -275,7 +279,9 @@
                           message.type == AgreementType::kFetch ||
                           message.type == AgreementType::kJoin;
   if (is_request) return true;
-  return !m_is_faulty && Peers().count(from) != 0;
+  const bool is_invitation =
+      message.type == AgreementType::kHeartbeat && m_state.cluster() == 0;
+  return !m_is_faulty && (is_invitation || Peers().count(from) != 0);
 }
 
 void Replica::Core::Handle(NodeId from, const AgreementMessage& message,
@@ -362,6 +368,7 @@
 std::set<NodeId> Replica::Core::Peers() const {
   std::set<NodeId> peers(m_settings.contacts.begin(),
                          m_settings.contacts.end());
+  peers.insert(m_discovered_peers.begin(), m_discovered_peers.end());
   for (const auto& [member, store] : m_state.members()) peers.insert(member);
   peers.erase(m_settings.self);
   return peers;
--- a/src/replica_core.h
+++ b/src/replica_core.h
@@ -213,6 +213,9 @@
   // Peers whose heartbeat, received since startup, reported which of this
   // replica's votes they have seen.
   std::set<NodeId> m_peers_heard_from;
+  // Senders of heartbeats while this replica had no state. Its contacts may be
+  // outdated, so that none of them is a member.
+  std::set<NodeId> m_discovered_peers;
   TimePoint m_started_at;
   TimePoint m_heartbeat_at;
   TimePoint m_fetch_at;
--- a/src/replica_learner.cc
+++ b/src/replica_learner.cc
@@ -108,6 +108,9 @@
     return;
   }
   m_peers_heard_from.insert(from);
+  const bool is_invitation = m_state.cluster() == 0 &&
+                             m_discovered_peers.size() < m_settings.max_members;
+  if (is_invitation) m_discovered_peers.insert(from);
   if (message.index > m_state.index()) Fetch(from, now);
   MaybePropose(now);
 }
@@ -116,6 +119,8 @@
   if (now < m_fetch_at) return;
   m_fetch_at = now + kFetchInterval;
   AgreementMessage fetch = MakeMessage(AgreementType::kFetch);
+  // Without state this replica needs a snapshot, also if it knows its cluster.
+  fetch.cluster = m_state.cluster();
   fetch.index = m_state.index() + 1;
   Send(from, fetch);
 }
--- a/tests/replica_members_test.cc
+++ b/tests/replica_members_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(DisksLostLongAfterARejoinKeepQuorum);
   CPPUNIT_TEST(DisksLostLongAfterAReplacementKeepQuorum);
   CPPUNIT_TEST(DisksLostLongAfterARemovalKeepQuorum);
+  CPPUNIT_TEST(LostDiskWithOutdatedContactsJoinsAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -397,6 +398,25 @@
       }
     }
   }
+
+  // Guards against replicas that lose their disks and never join again, because
+  // their contacts are the first replicas of the cluster, of which one was
+  // replaced and the others lost their disks as well.
+  void LostDiskWithOutdatedContactsJoinsAgain() {
+    for (const Size& size : kSizes) {
+      const auto cluster = MakeCluster(size);
+      AssertDecides(cluster.get(), 1, 5);
+      cluster->Stop(NodeId{1});
+      cluster->Run(milliseconds(300));
+      cluster->Start(NodeId{size.members + 1});
+      cluster->Run(kCatchUp);
+      std::set<NodeId> lost;
+      for (std::uint32_t i = 1; i <= size.tolerated_losses; ++i) {
+        lost.insert(NodeId{1 + i});
+      }
+      AssertSurvivesFinalFault(cluster.get(), lost, Describe(size, 7));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaMembersTest);
