A control process starts although its disk is full

What callers saw here: a control process that is started while its disk is full ends with an error, again at each restart, until there is room. Targets and balancers lose it for that time, which a full disk alone doesn't cause.

Fix: kIo at the start is handled in the same way. The process serves targets and balancers without a vote. A data folder of another replica still ends it.

Measured: DiskFullTest fails without the fix ("a VM must start while its disk is full") and ControlPlaneTest StartsWithAFullDisk guards it; both pass with it.

--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -27,7 +27,12 @@
 
 Result<void> ControlPlane::Start(TimePoint now) {
   LoadTargets(now);
-  return StartReplica(now);
+  auto started = StartReplica(now);
+  const bool may_recover = !started && started.error().code == ErrorCode::kIo;
+  if (!may_recover) return started;
+  m_hooks.on_error(started.error());
+  m_restart_at = now + m_settings.restart_interval;
+  return {};
 }
 
 FeedFollower::Hooks ControlPlane::FollowerHooks() const {
--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -5,8 +5,9 @@
 // replica of the replicated document, the directory of reporting targets, and
 // the feed of both to balancers. Sans-I/O except for the journal's files.
 //
-// After a disk failure, the replica is restarted from disk every
-// `restart_interval` until that succeeds.
+// After a disk failure, also one at the start, the replica is restarted from
+// disk every `restart_interval` until that succeeds. Until then it does not
+// vote, while targets and balancers are served.
 
 #include <cstdint>
 #include <functional>
@@ -59,6 +60,8 @@
 
   ControlPlane(ControlPlaneSettings settings, Hooks hooks);
 
+  // Returns kNotAllowed if the data folder belongs to another replica. A
+  // failing disk is no error.
   Result<void> Start(TimePoint now);
   void OnMessage(NodeId from, MessageKind kind, ByteView body, TimePoint now);
   // Called when a peer process has started or is contacted for the first time.
--- a/tests/control_plane_test.cc
+++ b/tests/control_plane_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST_SUITE(ControlPlaneTest);
   CPPUNIT_TEST(AcceptedDocumentIsPublishedInFeed);
   CPPUNIT_TEST(ReplicaRestartsAfterDiskFailure);
+  CPPUNIT_TEST(StartsWithAFullDisk);
   CPPUNIT_TEST(TargetsOutliveARestart);
   CPPUNIT_TEST(CorruptTargetFileIsReported);
   CPPUNIT_TEST(SubmitWithoutQuorumFailsImmediately);
@@ -77,6 +78,20 @@
                    AnnouncementEffect::kChanged);
   }
 
+  // Guards against a process that ends again and again while its disk is full.
+  void StartsWithAFullDisk() {
+    CPPUNIT_ASSERT(SubmitNow(1) == OutcomeKind::kAccepted);
+    m_disk.is_full = true;
+    Start(false);
+    CPPUNIT_ASSERT(m_plane->Status(m_now).role == ReplicaRole::kFaulty);
+    CPPUNIT_ASSERT(SubmitNow(2) == OutcomeKind::kUnknown);
+    m_disk.is_full = false;
+    Run(3 * kSecond);
+    CPPUNIT_ASSERT(m_plane->Status(m_now).role == ReplicaRole::kVoting);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_plane->document().version.value);
+    CPPUNIT_ASSERT(SubmitNow(3) == OutcomeKind::kAccepted);
+  }
+
   void CorruptTargetFileIsReported() {
     TargetAnnouncement report;
     report.number = 5;
