Targets that could not be written are written at the next interval

What callers would see: a control VM that restarts after a quiet time knows older targets than it acknowledged, among them ones that had announced to leave, until their next heartbeats.

Cause: ControlPlane::SaveTargets noted the revision as saved before the write. After a failed write, as on a full disk, the list was written again only after the next change of a target.

Fix: the revision counts as saved once the write has succeeded; the save interval still limits the tries.

Measured: ControlPlaneTest TargetsAreStoredOnceAFullDiskHasRoom fails without the fix and passes with it. Found by reading the paths of full disks.

--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -65,11 +65,11 @@
   if (!m_next_save_at) m_next_save_at = now + m_settings.save_delay;
   if (now < *m_next_save_at) return;
   m_next_save_at = now + m_settings.save_interval;
-  m_saved_revision = m_directory.revision();
-  m_saved_subscribers = subscribers;
   const auto saved =
       WriteTargets(m_hooks.open_files(), m_directory, subscribers);
-  if (!saved) m_hooks.on_error(saved.error());
+  if (!saved) return m_hooks.on_error(saved.error());
+  m_saved_revision = m_directory.revision();
+  m_saved_subscribers = subscribers;
 }
 
 Result<void> ControlPlane::StartReplica(TimePoint now) {
--- a/tests/control_plane_test.cc
+++ b/tests/control_plane_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(ReplicaRestartsAfterDiskFailure);
   CPPUNIT_TEST(StartsWithAFullDisk);
   CPPUNIT_TEST(TargetsOutliveARestart);
+  CPPUNIT_TEST(TargetsAreStoredOnceAFullDiskHasRoom);
   CPPUNIT_TEST(CorruptTargetFileIsReported);
   CPPUNIT_TEST(SubmitWithoutQuorumFailsImmediately);
   CPPUNIT_TEST(JoiningReplicaNamesReachableVoter);
@@ -92,6 +93,22 @@
     CPPUNIT_ASSERT(SubmitNow(3) == OutcomeKind::kAccepted);
   }
 
+  // Guards against targets that are missing after a restart because their list
+  // could not be written for some seconds and did not change afterwards.
+  void TargetsAreStoredOnceAFullDiskHasRoom() {
+    m_disk.is_full = true;
+    TargetAnnouncement report;
+    report.number = 5;
+    report.pool = "orders";
+    report.address = *Endpoint::Parse("10.0.0.5:80");
+    m_plane->Take(report, m_now);
+    Run(3 * kSecond);
+    m_disk.is_full = false;
+    Run(3 * kSecond);
+    Start(false);
+    CPPUNIT_ASSERT(m_plane->directory().Find(5) != nullptr);
+  }
+
   void CorruptTargetFileIsReported() {
     TargetAnnouncement report;
     report.number = 5;
