One odd entry among the targets cannot stop those who read the list

Cause: a heartbeat's names had no bound, so one of 400 KB made each report exceed the largest message, which is dropped: balancers got nothing from that control VM any more. `born` up to 2^64-1 made an entry the latest one of a living target's id for good. Port 0 was taken. A reader refused the whole list for one entry that it cannot read. Ruled out: nesting ends no process here, since the values are moved; 1,000,000 levels take 76 MB, but a copy would overflow the stack.

--- a/include/sardinelead/http_server.h
+++ b/include/sardinelead/http_server.h
@@ -71,8 +71,8 @@
 HttpResponse ErrorResponse(int status, const Error& error);
 // Returns the value of the "error" key in an error response.
 nlohmann::json ToJson(const Error& error);
-// Returns kMalformed if `text` is not a JSON object; the message includes any
-// parse error.
+// Returns kMalformed if `text` is not a JSON object or is nested more than 64
+// levels deep; the message includes any parse error.
 Result<nlohmann::json> ParseJsonObject(const std::string& text);
 
 struct HttpServerSettings {
--- a/soak/actors.cc
+++ b/soak/actors.cc
@@ -43,6 +43,11 @@
   m_targets[address] = number;
 }
 
+std::vector<std::pair<Endpoint, std::uint64_t>> SoakState::Targets() const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return {m_targets.begin(), m_targets.end()};
+}
+
 TargetActor::TargetActor(SoakState* world, std::uint64_t number,
                          std::string pool, const Endpoint& address,
                          std::string data_centre, std::uint64_t seed)
--- a/soak/actors.h
+++ b/soak/actors.h
@@ -14,6 +14,7 @@
 #include <random>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "ledger.h"
@@ -40,6 +41,8 @@
   // The most recent target at an address, or 0 if there was none.
   std::uint64_t TargetAt(const Endpoint& address) const;
   void SetTargetAt(const Endpoint& address, std::uint64_t number);
+  // All addresses that were in use, with the most recent target at each.
+  std::vector<std::pair<Endpoint, std::uint64_t>> Targets() const;
   std::uint64_t NextRequest() { return ++m_last_request; }
 
  private:
@@ -100,6 +103,10 @@
 // updates.
 void RunOperator(SoakState* world, std::uint64_t seed);
 void RunReader(SoakState* world, std::uint64_t seed);
+// Sends heartbeats that name no target to use, some with the address or the id
+// of a target. No control VM may end or stop serving because of them, and no
+// target may be lost.
+void RunOddWriter(SoakState* world, std::uint64_t seed);
 // Retries one configuration until it is accepted or `limit` has elapsed.
 bool SendConfig(SoakState* world, std::uint64_t version, Duration limit,
                 std::mt19937_64* random);
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -114,6 +114,7 @@
     }
     actors.emplace_back([&world, seed] { RunOperator(&world, seed); });
     actors.emplace_back([&world, seed] { RunReader(&world, seed); });
+    actors.emplace_back([&world, seed] { RunOddWriter(&world, seed); });
     RunFor(&system, seconds(FLAGS_seconds), FLAGS_faults, &random);
     system.ClearFaults();
     RunFor(&system, kRecovery, false, &random);
--- a/src/feed_follower.cc
+++ b/src/feed_follower.cc
@@ -97,7 +97,13 @@
   if (!report.members.empty()) m_members = report.members;
   const auto changed = DecodeTargets(*report.changed);
   if (!changed) return m_hooks.on_error(from, changed.error());
-  ApplyTargets(*changed, &source, now);
+  if (changed->unreadable > 0) {
+    m_hooks.on_error(from, {ErrorCode::kMalformed,
+                            std::to_string(changed->unreadable) +
+                                " targets cannot be read and are left out",
+                            "feed"});
+  }
+  ApplyTargets(changed->targets, &source, now);
   if (report.silence) ApplySilence(*report.silence, source, now);
   // If the report is based on a revision that was not received, changes are
   // missing. The revision is not advanced, and the poll requests them again.
@@ -107,7 +113,8 @@
     source.has_sent_all = source.has_sent_all || is_complete;
     source.revision = std::max(source.revision, report.revision);
   }
-  const bool must_poll = !changed->empty() || !is_contiguous || is_new_start;
+  const bool has_changes = !changed->targets.empty() || changed->unreadable > 0;
+  const bool must_poll = has_changes || !is_contiguous || is_new_start;
   const bool wants_routes =
       m_version < report.version &&
       now - m_routes_requested_at >= kRoutesRequestInterval;
--- a/src/feed_message.cc
+++ b/src/feed_message.cc
@@ -1,5 +1,6 @@
 #include "feed_message.h"
 
+#include <limits>
 #include <utility>
 
 #include "cbor.h"
@@ -10,6 +11,9 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+// A control VM forgets a target long before it was silent for this long.
+constexpr std::uint64_t kMaxDurationMs = std::uint64_t{7} * 24 * 3600 * 1000;
+
 std::uint64_t ToMs(Duration duration) {
   const auto ms = std::chrono::duration_cast<milliseconds>(duration).count();
   return ms < 0 ? 0 : static_cast<std::uint64_t>(ms);
@@ -57,6 +61,15 @@
   return fields.ok();
 }
 
+// Reads a duration that was encoded by ToMs(). Returns false if no sender could
+// have meant it.
+bool ReadDuration(CborArrayReader* fields, Duration* duration) {
+  const std::uint64_t ms = fields->Number();
+  if (ms > kMaxDurationMs) return false;
+  *duration = milliseconds(ms);
+  return true;
+}
+
 bool ReadTarget(const json& item, ReportedTarget* target) {
   CborArrayReader fields(item);
   TargetAnnouncement& announcement = target->announcement;
@@ -69,15 +82,18 @@
   if (!address) return false;
   announcement.address = *address;
   announcement.data_centre = fields.Text();
-  announcement.slots = static_cast<std::uint32_t>(fields.Number());
-  announcement.warm_up_left = milliseconds(fields.Number());
-  target->silent = milliseconds(fields.Number());
+  const std::uint64_t slots = fields.Number();
+  const bool is_duration = ReadDuration(&fields, &announcement.warm_up_left) &&
+                           ReadDuration(&fields, &target->silent);
   target->is_heard = fields.Number() != 0;
-  const bool is_valid_state =
+  const bool is_valid =
+      fields.ok() && is_duration && slots > 0 &&
+      slots <= std::numeric_limits<std::uint32_t>::max() &&
       state <= static_cast<std::uint64_t>(AnnouncedState::kEnded);
-  announcement.state = is_valid_state ? static_cast<AnnouncedState>(state)
-                                      : AnnouncedState::kEnded;
-  return fields.ok() && is_valid_state && announcement.slots > 0;
+  if (!is_valid) return false;
+  announcement.slots = static_cast<std::uint32_t>(slots);
+  announcement.state = static_cast<AnnouncedState>(state);
+  return true;
 }
 
 tl::unexpected<Error> MalformedError(const char* what) {
@@ -128,16 +144,27 @@
   return std::make_shared<const Bytes>(ToCbor(list));
 }
 
-Result<std::vector<ReportedTarget>> DecodeTargets(ByteView bytes) {
+Result<DecodedTargets> DecodeTargets(ByteView bytes) {
   const json list = FromCbor(bytes);
   if (!list.is_array()) return MalformedError("a list of targets");
-  std::vector<ReportedTarget> targets;
+  DecodedTargets decoded;
   for (const json& item : list) {
     ReportedTarget target;
-    if (!ReadTarget(item, &target)) return MalformedError("a target");
-    targets.push_back(std::move(target));
+    if (!ReadTarget(item, &target)) {
+      ++decoded.unreadable;
+      continue;
+    }
+    decoded.targets.push_back(std::move(target));
   }
-  return targets;
+  return decoded;
+}
+
+std::size_t EncodedSizeLimit(const TargetAnnouncement& announcement) {
+  // Nine numbers of at most 9 bytes, an address of at most 22, and the heads of
+  // three texts and the array.
+  constexpr std::size_t kFixedBytes = 120;
+  return kFixedBytes + announcement.pool.size() +
+         announcement.data_centre.size();
 }
 
 Bytes FeedPoll::Encode() const {
--- a/src/feed_message.h
+++ b/src/feed_message.h
@@ -54,9 +54,20 @@
   std::vector<SilentTarget> listed;
 };
 
+// Size of a target's encoding in bytes, at most.
+std::size_t EncodedSizeLimit(const TargetAnnouncement& announcement);
+
 std::shared_ptr<const Bytes> EncodeTargets(
     const std::vector<ReportedTarget>& targets);
-Result<std::vector<ReportedTarget>> DecodeTargets(ByteView bytes);
+
+// A list of targets as decoded. An entry that cannot be read is left out, so
+// that it does not hide the others.
+struct DecodedTargets {
+  std::vector<ReportedTarget> targets;
+  std::size_t unreadable = 0;  // Number of entries left out.
+};
+// Returns kMalformed if the bytes are not a list.
+Result<DecodedTargets> DecodeTargets(ByteView bytes);
 
 // Sent by a control VM to a subscriber.
 struct FeedReport {
--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -18,6 +18,7 @@
 // At about 70 bytes per target, a report passes a slow link in a few
 // milliseconds, and a lost datagram costs little.
 constexpr std::size_t kMaxTargetsPerReport = 256;
+constexpr std::size_t kMaxReportBytes = 32 << 10;
 
 }  // namespace
 
@@ -295,6 +296,7 @@
   Changes changes;
   changes.revision = m_revision;
   std::vector<ReportedTarget> targets;
+  std::size_t size = 0;
   for (auto it = m_targets_by_revision.upper_bound(subscriber.acknowledged);
        it != m_targets_by_revision.end(); ++it) {
     const auto [revision, number] = *it;
@@ -303,7 +305,10 @@
     const bool is_reported =
         entry != nullptr && (record.ever_heard || subscriber.wants_all_targets);
     if (!is_reported) continue;
-    if (targets.size() >= kMaxTargetsPerReport) {
+    size += EncodedSizeLimit(entry->announcement);
+    const bool is_full = targets.size() >= kMaxTargetsPerReport ||
+                         (size > kMaxReportBytes && !targets.empty());
+    if (is_full) {
       changes.revision = revision - 1;
       changes.has_more = true;
       break;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -22,6 +22,8 @@
 constexpr std::size_t kMaxFieldNameBytes = 256;
 constexpr std::size_t kMaxFieldValueBytes = 8192;
 constexpr std::size_t kMaxHeaderFields = 64;
+// Copying or freeing a JSON value takes stack space for each level.
+constexpr std::size_t kMaxJsonDepth = 64;
 
 using Router =
     restinio::router::express_router_t<restinio::router::std_regex_engine_t>;
@@ -151,6 +153,35 @@
   std::size_t m_count = 0;
 };
 
+// Whether arrays and objects in a JSON text are nested more than `max` levels
+// deep. The text need not be valid.
+bool IsNestedDeeper(std::string_view text, std::size_t max) {
+  std::size_t depth = 0;
+  bool is_in_string = false;
+  bool is_escaped = false;
+  for (const char c : text) {
+    if (is_in_string) {
+      const bool ends_string = c == '"' && !is_escaped;
+      is_escaped = c == '\\' && !is_escaped;
+      is_in_string = !ends_string;
+      continue;
+    }
+    if (c == '"') is_in_string = true;
+    if (c == '[' || c == '{') ++depth;
+    if ((c == ']' || c == '}') && depth > 0) --depth;
+    if (depth > max) return true;
+  }
+  return false;
+}
+
+// Texts from a request that stand in an error message are cut to this length,
+// so that an answer and a log line stay short.
+std::string Shorten(const std::string& text) {
+  constexpr std::size_t kMaxErrorBytes = 512;
+  if (text.size() <= kMaxErrorBytes) return text;
+  return text.substr(0, kMaxErrorBytes) + "...";
+}
+
 void Send(const restinio::request_handle_t& raw, HttpResponse response,
           std::function<void()> sent) {
   auto builder = raw->create_response(restinio::http_status_line_t{
@@ -217,8 +248,8 @@
 
 nlohmann::json ToJson(const Error& error) {
   return {{"code", Name(error.code)},
-          {"message", error.message},
-          {"path", error.path}};
+          {"message", Shorten(error.message)},
+          {"path", Shorten(error.path)}};
 }
 
 HttpResponse ErrorResponse(const Error& error) {
@@ -230,6 +261,11 @@
 }
 
 Result<nlohmann::json> ParseJsonObject(const std::string& text) {
+  if (IsNestedDeeper(text, kMaxJsonDepth)) {
+    return Fail(ErrorCode::kMalformed, "the body is nested more than " +
+                                           std::to_string(kMaxJsonDepth) +
+                                           " levels deep");
+  }
   try {
     nlohmann::json json = nlohmann::json::parse(text);
     if (!json.is_object()) {
@@ -238,7 +274,7 @@
     return json;
   } catch (const nlohmann::json::exception& error) {
     return Fail(ErrorCode::kMalformed,
-                std::string("the body is not JSON: ") + error.what());
+                "the body is not JSON: " + Shorten(error.what()));
   }
 }
 
--- a/src/target_store.cc
+++ b/src/target_store.cc
@@ -43,7 +43,7 @@
   if (report == nullptr) return tl::unexpected<Error>(corrupt);
   const auto targets = DecodeTargets(*report->changed);
   if (!targets) return tl::unexpected<Error>(targets.error());
-  for (const ReportedTarget& target : *targets) {
+  for (const ReportedTarget& target : targets->targets) {
     stored.targets.push_back(target.announcement);
   }
   stored.subscribers = report->members;
--- a/tests/fuzz_test.cc
+++ b/tests/fuzz_test.cc
@@ -9,12 +9,14 @@
 #include <random>
 
 #include "balancer_settings.h"
+#include "feed_message.h"
 #include "operator_api.h"
 #include "peer_link.h"
 #include "quick.h"
 #include "replica_cluster.h"
 #include "sardinelead/balancer.h"
 #include "sardinelead/packet_writer.h"
+#include "target_codec.h"
 
 namespace sardinelead {
 namespace {
@@ -124,6 +126,8 @@
   CPPUNIT_TEST(SealedDatagrams);
   CPPUNIT_TEST(MessagesBetweenBalancers);
   CPPUNIT_TEST(MessagesBetweenReplicas);
+  CPPUNIT_TEST(Heartbeats);
+  CPPUNIT_TEST(TargetLists);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -257,6 +261,48 @@
     }
   }
 
+  // A heartbeat is refused, or every reader of the list of targets can read it.
+  void Heartbeats() {
+    const Bytes body = BytesOf(
+        R"({"service":"orders","address":"10.0.0.1:80","zone":"a","slots":2,)"
+        R"("state":"ready","warmupLeftMs":9,"sequence":4,"born":1790000000123})");
+    int accepted = 0;
+    ForEachInput(CaseCount(kInputCount), {body}, [&](const Bytes& input) {
+      const auto announcement = DecodeHeartbeat("i-1", TextOf(input));
+      if (!CheckResult(announcement)) return;
+      ++accepted;
+      const auto list =
+          DecodeTargets(*EncodeTargets({{*announcement, {}, true}}));
+      CPPUNIT_ASSERT(list.has_value());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, list->targets.size());
+      const TargetAnnouncement& read = list->targets[0].announcement;
+      CPPUNIT_ASSERT_EQUAL(announcement->number, read.number);
+      CPPUNIT_ASSERT(announcement->address == read.address);
+      CPPUNIT_ASSERT_EQUAL(announcement->pool, read.pool);
+    });
+    CPPUNIT_ASSERT(accepted > 0);
+  }
+
+  void TargetLists() {
+    TargetAnnouncement announcement;
+    announcement.number = 1;
+    announcement.pool = "orders";
+    announcement.address = kCaller;
+    const Bytes list =
+        *EncodeTargets({{announcement, {}, true}, {announcement, {}, true}});
+    std::size_t unreadable = 0;
+    ForEachInput(CaseCount(kInputCount), {list}, [&](const Bytes& input) {
+      const auto targets = DecodeTargets(input);
+      if (!CheckResult(targets)) return;
+      unreadable += targets->unreadable;
+      TargetDirectory directory;
+      for (const ReportedTarget& target : targets->targets) {
+        directory.Take(target.announcement, m_now - target.silent);
+      }
+    });
+    CPPUNIT_ASSERT(unreadable > 0);
+  }
+
   void MessagesBetweenReplicas() {
     TestCluster cluster(7, 3);
     std::vector<Bytes> samples;
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -8,6 +8,7 @@
 #include "boot_settings.h"
 #include "config_codec.h"
 #include "packet_codec.h"
+#include "sardinelead/http_server.h"
 #include "target_codec.h"
 
 namespace sardinelead {
@@ -75,6 +76,8 @@
   CPPUNIT_TEST(WritesResets);
   CPPUNIT_TEST(ReadsHeartbeats);
   CPPUNIT_TEST(HeartbeatErrorsNameTheKey);
+  CPPUNIT_TEST(OddHeartbeatsAreRefused);
+  CPPUNIT_TEST(DeeplyNestedTextIsRefused);
   CPPUNIT_TEST(ReadsTargetIds);
   CPPUNIT_TEST(ReadsDeregistrations);
   CPPUNIT_TEST(ReadsConfigurations);
@@ -229,6 +232,67 @@
     AssertRejected(born, "born", Heartbeat);
   }
 
+  // Guards against entries of another writer that no reader can use: numbers
+  // that are too large, addresses that cannot be sent to, names without bounds.
+  void OddHeartbeatsAreRefused() {
+    for (const char* key : {"born", "sequence", "slots", "warmupLeftMs"}) {
+      for (const char* number :
+           {"18446744073709551616", "1e400", "-1", "1e3", "99e99999999"}) {
+        json odd = MakeHeartbeat();
+        odd[key] = "@";
+        std::string text = odd.dump();
+        text.replace(text.find("\"@\""), 3, number);
+        CPPUNIT_ASSERT_MESSAGE(text, !Heartbeat(text).has_value());
+      }
+    }
+    json born = MakeHeartbeat();
+    born["born"] = 253'402'300'800'000;
+    AssertRejected(born, "born", Heartbeat);
+    for (const char* address :
+         {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999999999999999999",
+          "10.0.0.1:-1", "0.0.0.0:80", "10.0.0.1", "[::1]:80", ""}) {
+      json odd = MakeHeartbeat();
+      odd["address"] = address;
+      AssertRejected(odd, "address", Heartbeat);
+    }
+    for (const char* key : {"service", "zone"}) {
+      json odd = MakeHeartbeat();
+      odd[key] = std::string(1024, 'x');
+      CPPUNIT_ASSERT(Heartbeat(odd.dump()).has_value());
+      odd[key] = std::string(1025, 'x');
+      AssertRejected(odd, key, Heartbeat);
+    }
+    json state = MakeHeartbeat();
+    state["state"] = std::string(100'000, 'x');
+    CPPUNIT_ASSERT(
+        ErrorResponse(400, Heartbeat(state.dump()).error()).body.size() < 4096);
+  }
+
+  // Guards against a process that ends when it copies or frees such a value.
+  void DeeplyNestedTextIsRefused() {
+    constexpr std::size_t kLevels = 1'000'000;
+    for (const char* open : {"[", "{\"a\":"}) {
+      std::string nested;
+      for (std::size_t i = 0; i < kLevels; ++i) nested += open;
+      json body = MakeHeartbeat();
+      body["more"] = "@";
+      std::string text = body.dump();
+      text.replace(text.find("\"@\""), 3, nested);
+      CPPUNIT_ASSERT(!Heartbeat(text));
+      CPPUNIT_ASSERT(!DecodeDeregistration("i-1", text));
+      CPPUNIT_ASSERT(!DecodeConfig(text));
+      CPPUNIT_ASSERT(!DecodeBootSettings(text));
+    }
+    // Brackets in strings do not count.
+    json body = MakeHeartbeat();
+    body["more"] = std::string(1000, '[') + "\\\"" + std::string(1000, '{');
+    CPPUNIT_ASSERT(Heartbeat(body.dump()).has_value());
+    body["more"] = json::parse(std::string(60, '[') + std::string(60, ']'));
+    CPPUNIT_ASSERT(Heartbeat(body.dump()).has_value());
+    body["more"] = json::parse(std::string(64, '[') + std::string(64, ']'));
+    CPPUNIT_ASSERT(!Heartbeat(body.dump()));
+  }
+
   void ReadsTargetIds() {
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0x144eba1e34},
                          *DecodeTargetId("i-144eba1e34"));
--- a/tests/target_feed_test.cc
+++ b/tests/target_feed_test.cc
@@ -49,6 +49,8 @@
   CPPUNIT_TEST(ReadyAfterAllSourcesReportOrTimeout);
   CPPUNIT_TEST(UnlistedSilentSourcesAreRemoved);
   CPPUNIT_TEST(MalformedMessagesAreReported);
+  CPPUNIT_TEST(UnreadableTargetDoesNotHideTheOthers);
+  CPPUNIT_TEST(TargetsWithLongNamesAreSplitAcrossReports);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -406,6 +408,53 @@
     CPPUNIT_ASSERT(m_directory.Find(5) != nullptr);
   }
 
+  // Guards against balancers that stop following a control VM because of one
+  // entry in its list that they cannot read.
+  void UnreadableTargetDoesNotHideTheOthers() {
+    SetRoutes(1);
+    Run(kSecond);
+    ReportedTarget odd{MakeNews(6, 1, AnnouncedState::kReady), {}, true};
+    odd.announcement.slots = 0;
+    ReportedTarget late{MakeNews(7, 1, AnnouncedState::kReady), {}, true};
+    late.silent = std::chrono::hours(1000);
+    FeedReport report;
+    report.epoch = 99;
+    report.revision = 4;
+    report.changed =
+        EncodeTargets({{MakeNews(5, 1, AnnouncedState::kReady), {}, true},
+                       odd,
+                       late,
+                       {MakeNews(8, 1, AnnouncedState::kReady), {}, true}});
+    const Outbox polls =
+        m_follower->OnMessage(NodeId{1}, report.Encode(), m_now);
+    CPPUNIT_ASSERT_EQUAL(1, m_errors);
+    CPPUNIT_ASSERT(m_directory.Find(5) != nullptr);
+    CPPUNIT_ASSERT(m_directory.Find(8) != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_directory.entries().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, polls.size());
+    const auto poll = DecodeFeedMessage(polls[0].body);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, std::get<FeedPoll>(*poll).revision);
+  }
+
+  // A report that exceeds the largest message would never arrive.
+  void TargetsWithLongNamesAreSplitAcrossReports() {
+    constexpr std::uint64_t kTargets = 300;
+    constexpr std::size_t kNameBytes = 1024;
+    SetRoutes(1);
+    for (std::uint64_t number = 1; number <= kTargets; ++number) {
+      TargetAnnouncement announcement =
+          MakeNews(number, 1, AnnouncedState::kReady);
+      announcement.pool = std::string(kNameBytes, 'p');
+      announcement.data_centre = std::string(kNameBytes, 'd');
+      ControlVm& control = m_controls[1];
+      control.directory.Take(announcement, m_now);
+      control.publisher->OnTargetAnnounced(number, true, m_now);
+    }
+    Run(3 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kTargets}, m_directory.entries().size());
+    CPPUNIT_ASSERT(m_largest_report <= 40 << 10);
+  }
+
  private:
   struct InFlight {
     NodeId from;
@@ -462,7 +511,7 @@
   static std::size_t TargetCount(const FeedReport& report) {
     const auto targets = DecodeTargets(*report.changed);
     CPPUNIT_ASSERT(targets.has_value());
-    return targets->size();
+    return targets->targets.size();
   }
 
   Duration TimeSinceHeard(std::uint64_t number) const {
