Values of any accepted size reach every replica

Cause: a value held all pending documents, up to 1 MB, and the link drops messages above 300,000 bytes; its proposer accepted it and could from then on not even promise, since promises carry the value. Below that size a message is one burst of datagrams that overflows the receive buffer, with promises of several replicas each time.

Fix: messages between replicas carry the digest of a value above 16 KB. Who lacks it fetches it from the sender in numbered parts, at most 32 in flight, and only lost ones again; the message is handled when the value is there. A replica doesn't propose while a rival's value is on its way. Only the newest pending document is proposed. Outcomes of membership changes are bounded to 1,000.

The route table for the balancers is still one message.

--- a/src/register_state.cc
+++ b/src/register_state.cc
@@ -44,14 +44,20 @@
   return outcome;
 }
 
-ConfigVersion DocumentVersion(const Command& command) {
-  return ConfigVersion{std::strtoull(command.id.c_str(), nullptr, 10)};
-}
-
 std::string DescribeReplica(NodeId id) {
   return "replica " + std::to_string(id.value);
 }
 
+// Whether OutcomeKey() of a replica's own membership change returns `key`.
+// Operators name themselves in their changes, whose outcomes are kept.
+bool IsMembershipKey(const std::string& key) {
+  const auto kind = static_cast<CommandKind>(key.front() - '0');
+  const bool is_own_change =
+      kind == CommandKind::kReplicaChange && key.size() > 1 && key[1] == '\0';
+  return is_own_change || kind == CommandKind::kJoin ||
+         kind == CommandKind::kAddAndJoin;
+}
+
 }  // namespace
 
 std::string OutcomeKey(const Command& command) {
@@ -59,6 +65,10 @@
   return std::string(1, kind) + command.operator_name + '\0' + command.id;
 }
 
+ConfigVersion DocumentVersion(const Command& command) {
+  return ConfigVersion{std::strtoull(command.id.c_str(), nullptr, 10)};
+}
+
 Command MakePatchCommand(const std::string& operator_name, const Patch& patch) {
   return {CommandKind::kPatch, operator_name, patch.id, ToCbor(ToJson(patch))};
 }
@@ -156,8 +166,8 @@
       stored.base = kNeverEvicted;
       stored.outcome = Execute(command, &stored.base);
       outcome = stored.outcome;
-      m_outcome_order.push_back(key);
-      m_outcomes.emplace(key, std::move(stored));
+      StoreOutcome(key, std::move(stored));
+      EvictMembershipOutcomes();
     }
     outcomes.emplace_back(key, std::move(*outcome));
   }
@@ -200,6 +210,22 @@
   return found->second.outcome;
 }
 
+void RegisterState::StoreOutcome(const std::string& key, StoredOutcome stored) {
+  m_outcome_order.push_back(key);
+  if (IsMembershipKey(key)) m_membership_order.push_back(key);
+  m_outcomes.emplace(key, std::move(stored));
+}
+
+void RegisterState::EvictMembershipOutcomes() {
+  while (m_membership_order.size() > kMaxMembershipOutcomes) {
+    const std::string key = std::move(m_membership_order.front());
+    m_membership_order.pop_front();
+    m_outcomes.erase(key);
+    m_outcome_order.erase(
+        std::find(m_outcome_order.begin(), m_outcome_order.end(), key));
+  }
+}
+
 bool RegisterState::EnsureOutcomeCapacity() {
   for (std::size_t step = 0; step < kMaxEvictionSteps; ++step) {
     if (m_outcomes.size() < kMaxOutcomes) return true;
@@ -424,8 +450,7 @@
     stored.base = fields.Number();
     stored.outcome = ReadOutcome(&fields);
     is_valid = is_valid && fields.ok();
-    state.m_outcome_order.push_back(key);
-    state.m_outcomes.emplace(key, std::move(stored));
+    state.StoreOutcome(key, std::move(stored));
   }
   for (const json& item : reader.Array()) {
     CborArrayReader fields(item);
--- a/src/register_state.h
+++ b/src/register_state.h
@@ -34,6 +34,9 @@
   Bytes content;
 };
 
+// The version of the document in a command of kind kDocument.
+ConfigVersion DocumentVersion(const Command& command);
+
 // Returns the key that identifies a command and its retries.
 std::string OutcomeKey(const Command& command);
 
@@ -58,6 +61,9 @@
   // patch cannot be applied. It is answered with kStale, which says neither
   // that the patch was accepted nor that it was refused.
   static constexpr std::size_t kMaxOutcomes = 100'000;
+  // Maximum number of stored outcomes of membership changes. The oldest ones
+  // are evicted; replicas retry such a change for seconds only.
+  static constexpr std::size_t kMaxMembershipOutcomes = 1'000;
 
   RegisterState() = default;
   // Creates the state of a new cluster with the given members, of which only
@@ -116,6 +122,8 @@
   // Evicts outcomes until there is room for one more. Returns false if no
   // examined outcome may be evicted.
   bool EnsureOutcomeCapacity();
+  void StoreOutcome(const std::string& key, StoredOutcome stored);
+  void EvictMembershipOutcomes();
   void AppendToHistory(const std::string& operator_name, Patch patch,
                        std::size_t size);
 
@@ -126,6 +134,7 @@
   std::map<NodeId, std::uint64_t> m_members;
   std::unordered_map<std::string, StoredOutcome> m_outcomes;
   std::deque<std::string> m_outcome_order;
+  std::deque<std::string> m_membership_order;  // The membership changes in it.
   // The highest base version of an evicted outcome.
   std::optional<std::uint64_t> m_max_evicted_base;
   std::deque<PatchRecord> m_history;
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -177,6 +177,7 @@
   m_is_faulty = true;
   m_needs_sync = false;
   m_messages_awaiting_sync.clear();
+  m_awaiting_values.clear();
   AbandonProposal();
   const Error error{ErrorCode::kUnavailable,
                     "this replica's disk failed; ask another with the same id",
@@ -252,8 +253,10 @@
     case AgreementType::kHello:
     case AgreementType::kFetch:
     case AgreementType::kJoin:
+    case AgreementType::kFetchValue:
       return message.cluster == 0;
     case AgreementType::kSnapshot:
+    case AgreementType::kValuePart:
       return m_cluster == 0;
     case AgreementType::kHeartbeat:
       return m_cluster == 0 && message.cluster != 0;
@@ -263,9 +266,10 @@
 }
 
 void Replica::Core::OnMessage(NodeId from, ByteView body, TimePoint now) {
-  const auto message = AgreementMessage::Decode(body);
+  auto message = AgreementMessage::Decode(body);
   if (!message || from == m_settings.self) return;
-  if (IsPermitted(from, *message)) Handle(from, *message, now);
+  if (!IsPermitted(from, *message)) return;
+  if (TakeValue(from, &*message, now)) Handle(from, *message, now);
 }
 
 // Requests are accepted from any sender, all other messages only from known
@@ -277,7 +281,8 @@
   if (!MatchesCluster(message)) return false;
   const bool is_request = message.type == AgreementType::kHello ||
                           message.type == AgreementType::kFetch ||
-                          message.type == AgreementType::kJoin;
+                          message.type == AgreementType::kJoin ||
+                          message.type == AgreementType::kFetchValue;
   if (is_request) return true;
   const bool is_invitation =
       message.type == AgreementType::kHeartbeat && m_state.cluster() == 0;
@@ -316,6 +321,10 @@
       return HandleProbe(from, message);
     case AgreementType::kProbeReply:
       return HandleProbeReply(from, message);
+    case AgreementType::kFetchValue:
+      return HandleFetchValue(from, message);
+    case AgreementType::kValuePart:
+      return HandleValuePart(message, now);
   }
 }
 
@@ -336,6 +345,7 @@
   RequestMembership(now);
   RemoveUnresponsiveMember(now);
   Retransmit(now);
+  SendPartRequests(now);
   MaybePropose(now);
   RetryOrExpireReads(now);
   if (IsCompactionDue() && !m_needs_sync && !Compact()) MarkFaulty();
--- a/src/replica_acceptor.cc
+++ b/src/replica_acceptor.cc
@@ -42,7 +42,11 @@
   promise.index = message.index;
   promise.ballot = message.ballot;
   promise.acceptor_ballot = m_acceptor.accepted;
-  promise.value = m_acceptor.value;
+  if (from == m_settings.self) {
+    promise.value = m_acceptor.value;
+  } else {
+    PutValue(m_acceptor.value, &promise);
+  }
   SendAfterSync(from, std::move(promise), now);
 }
 
--- a/src/replica_core.h
+++ b/src/replica_core.h
@@ -10,6 +10,7 @@
 //   replica_learner.cc   learner: decided values, catch-up
 //   replica_members.cc   joining, leaving, removal of unresponsive members
 //   replica_reads.cc     linearizable reads
+//   replica_values.cc    values that are too large for a message
 
 #include <deque>
 #include <map>
@@ -73,6 +74,12 @@
     Bytes value;
   };
 
+  // A message whose value is being fetched.
+  struct WaitingMessage {
+    NodeId from;
+    AgreementMessage message;
+  };
+
   // The highest promise and vote received from a peer. Reported back to it in
   // heartbeats, so that it detects when its disk lost them.
   struct PeerVotes {
@@ -161,6 +168,17 @@
   void ProposeRemoval(const Member& member, std::uint64_t request_id,
                       TimePoint deadline, TimePoint now);
 
+  // replica_values.cc
+  void PutValue(const Bytes& value, AgreementMessage* message);
+  bool TakeValue(NodeId from, AgreementMessage* message, TimePoint now);
+  void HandleFetchValue(NodeId from, const AgreementMessage& message);
+  void HandleValuePart(const AgreementMessage& message, TimePoint now);
+  void SendPartRequests(TimePoint now);
+  bool NeedsValue(NodeId from, const AgreementMessage& message) const;
+  void AwaitValue(NodeId from, const AgreementMessage& message);
+  bool IsReceivingProposal(TimePoint now) const;
+  bool IsCatchingUp() const;
+
   // replica_reads.cc
   void StartProbe(PendingRead* read, TimePoint now);
   void SendProbe(PendingRead* read, TimePoint now);
@@ -208,6 +226,9 @@
   std::deque<PendingRead> m_pending_reads;
   std::uint64_t m_last_probe_id = 0;
 
+  ValueTransfer m_values;
+  std::deque<WaitingMessage> m_awaiting_values;
+
   std::map<NodeId, PeerVotes> m_peer_votes;
   std::map<NodeId, TimePoint> m_last_heard;
   // Peers whose heartbeat, received since startup, reported which of this
--- a/src/replica_learner.cc
+++ b/src/replica_learner.cc
@@ -11,7 +11,7 @@
 constexpr std::size_t kMaxRecentBytes = 4 << 20;
 constexpr std::size_t kMaxRecentValues = 1024;
 constexpr std::size_t kMaxFetchValues = 64;
-constexpr std::size_t kMaxFetchBytes = 256 << 10;
+constexpr std::size_t kMaxFetchBytes = 32 << 10;
 constexpr Duration kFetchInterval = std::chrono::milliseconds(50);
 
 }  // namespace
@@ -116,7 +116,7 @@
 }
 
 void Replica::Core::Fetch(NodeId from, TimePoint now) {
-  if (now < m_fetch_at) return;
+  if (now < m_fetch_at || IsCatchingUp()) return;
   m_fetch_at = now + kFetchInterval;
   AgreementMessage fetch = MakeMessage(AgreementType::kFetch);
   // Without state this replica needs a snapshot, also if it knows its cluster.
@@ -134,17 +134,22 @@
                          message.index >= m_recent_values.front().index;
   if (!is_recent) {
     AgreementMessage snapshot = MakeMessage(AgreementType::kSnapshot);
-    snapshot.value = m_state.Encode();
+    PutValue(m_state.Encode(), &snapshot);
     return Send(from, snapshot);
   }
   AgreementMessage values = MakeMessage(AgreementType::kValues);
   values.index = message.index;
+  values.seen_index = m_state.index();
   std::size_t size = 0;
   for (const RecentValue& recent : m_recent_values) {
     if (recent.index < message.index) continue;
+    if (recent.value.size() > m_settings.max_inline_value_bytes) {
+      PutValue(recent.value, &values);
+      break;
+    }
     size += recent.value.size();
-    const bool is_full = values.values.size() >= kMaxFetchValues ||
-                         (size > kMaxFetchBytes && !values.values.empty());
+    const bool is_full =
+        values.values.size() >= kMaxFetchValues || size > kMaxFetchBytes;
     if (is_full) break;
     values.values.push_back(recent.value);
   }
@@ -163,7 +168,9 @@
   }
   if (!is_new) return;
   m_fetch_at = TimePoint{};
-  if (message.values.size() >= kMaxFetchValues) Fetch(from, now);
+  const bool has_more = message.seen_index > m_state.index() ||
+                        message.values.size() >= kMaxFetchValues;
+  if (has_more) Fetch(from, now);
   MaybePropose(now);
 }
 
--- a/src/replica_members.cc
+++ b/src/replica_members.cc
@@ -167,7 +167,7 @@
   AgreementMessage fetch = MakeMessage(AgreementType::kFetch);
   fetch.cluster = m_state.cluster();
   fetch.index = m_state.index() + 1;
-  Send(peer, fetch);
+  if (!IsCatchingUp()) Send(peer, fetch);
   if (m_state.cluster() != 0) Send(peer, MakeMessage(AgreementType::kJoin));
 }
 
--- a/src/replica_message.cc
+++ b/src/replica_message.cc
@@ -27,10 +27,15 @@
 Bytes AgreementMessage::Encode() const {
   json list = json::array();
   for (const Bytes& item : values) list.push_back(Binary(item));
-  return ToCbor(
+  json fields =
       json::array({static_cast<std::uint64_t>(type), cluster, store, index,
                    BallotToJson(ballot), BallotToJson(acceptor_ballot),
-                   Binary(value), std::move(list), seen_store, seen_index}));
+                   Binary(value), std::move(list), seen_store, seen_index});
+  if (digest) {
+    fields.push_back(json::array(
+        {digest->size, digest->hash_high, digest->hash_low, part, wanted}));
+  }
+  return ToCbor(fields);
 }
 
 std::optional<AgreementMessage> AgreementMessage::Decode(ByteView bytes) {
@@ -54,6 +59,19 @@
   }
   message.seen_store = reader.Number();
   message.seen_index = reader.Number();
+  if (reader.ok() && !reader.AtEnd()) {
+    CborArrayReader fields(reader.Array());
+    ValueDigest& digest = message.digest.emplace();
+    digest.size = fields.Number();
+    digest.hash_high = fields.Number();
+    digest.hash_low = fields.Number();
+    message.part = static_cast<std::uint32_t>(fields.Number());
+    message.wanted = fields.Number();
+    if (!fields.ok()) return std::nullopt;
+  }
+  const bool must_have_digest = message.type == AgreementType::kFetchValue ||
+                                message.type == AgreementType::kValuePart;
+  if (must_have_digest && !message.digest) return std::nullopt;
   if (!reader.ok() || !reader.AtEnd()) return std::nullopt;
   return message;
 }
--- a/src/replica_message.h
+++ b/src/replica_message.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "sardinelead/types.h"
+#include "value_transfer.h"
 
 namespace sardinelead {
 
@@ -50,8 +51,10 @@
   kJoin = 11,        // Requests that votes from the sender's store count.
   kProbe = 12,       // Requests a kProbeReply; `ballot.counter` is its id.
   kProbeReply = 13,  // `index` is the highest index that may be decided.
+  kFetchValue = 14,  // Requests the parts `wanted` of the value `digest`.
+  kValuePart = 15,   // `value` is part `part` of the value `digest`.
 };
-constexpr AgreementType kLastAgreementType = AgreementType::kProbeReply;
+constexpr AgreementType kLastAgreementType = AgreementType::kValuePart;
 
 struct AgreementMessage {
   AgreementType type = AgreementType::kHeartbeat;
@@ -64,6 +67,13 @@
   Ballot acceptor_ballot;
   Bytes value;
   std::vector<Bytes> values;
+  // Identifies a value that is too large for the message: in place of `value`,
+  // or, for kValues, the one that follows `values`. Replicas of a version
+  // without this field ignore messages that have it.
+  std::optional<ValueDigest> digest;
+  std::uint32_t part = 0;    // kFetchValue: the first part; see PartRequest.
+  std::uint64_t wanted = 0;  // kFetchValue.
+  // kValues: `seen_index` is the sender's last decided index.
   // kHeartbeat: the receiver's store and the highest index at which the sender
   // has seen a promise or vote from it. `ballot` and `acceptor_ballot` are then
   // the highest promise and the highest accepted ballot seen.
--- a/src/replica_proposer.cc
+++ b/src/replica_proposer.cc
@@ -13,7 +13,8 @@
 namespace {
 
 constexpr std::size_t kMaxBatchCommands = 64;
-constexpr std::size_t kMaxBatchBytes = 1 << 20;
+// The commands of a batch besides its first one have at most this size.
+constexpr std::size_t kMaxBatchBytes = 64 << 10;
 constexpr std::uint32_t kMaxBackOffDoublings = 10;
 // Maximum number of pending commands; further ones are answered kUnknown
 // immediately.
@@ -29,6 +30,15 @@
   };
   const auto outcome = m_state.FindOutcome(command);
   if (outcome) return answer(*outcome);
+  if (command.content.size() > m_settings.max_command_bytes) {
+    return answer(
+        {OutcomeKind::kRefused, m_state.configuration()->version,
+         Error{ErrorCode::kLimit,
+               "the change has " + std::to_string(command.content.size()) +
+                   " bytes, above the limit of " +
+                   std::to_string(m_settings.max_command_bytes),
+               ""}});
+  }
   const ReplicaRole role = Role();
   const bool is_unavailable =
       role == ReplicaRole::kFaulty || role == ReplicaRole::kRemoved;
@@ -70,7 +80,9 @@
 }
 
 void Replica::Core::MaybePropose(TimePoint now) {
-  const bool must_wait = now < m_back_off_until || now < m_yield_until;
+  ExpirePending(now);
+  const bool must_wait =
+      now < m_back_off_until || now < m_yield_until || IsReceivingProposal(now);
   if (m_phase != Phase::kIdle || must_wait || !CanVote()) return;
   const bool must_recover =
       m_acceptor.accepted.counter != 0 && now >= m_recovery_at;
@@ -107,15 +119,29 @@
   AgreementMessage accept = MakeMessage(AgreementType::kAccept);
   accept.index = m_state.index() + 1;
   accept.ballot = m_ballot;
-  accept.value = m_value;
+  PutValue(m_value, &accept);
   Broadcast(accept);
+  accept.value = m_value;
   HandleAccept(m_settings.self, accept, now);
 }
 
+// Of the pending documents only the newest is proposed: once it is decided, the
+// others are superseded.
 Bytes Replica::Core::NextBatch() const {
+  const PendingCommand* newest = nullptr;
+  for (const PendingCommand& pending : m_pending_commands) {
+    if (pending.command.kind != CommandKind::kDocument) continue;
+    const bool is_newer =
+        newest == nullptr ||
+        DocumentVersion(newest->command) < DocumentVersion(pending.command);
+    if (is_newer) newest = &pending;
+  }
   std::vector<Command> commands;
   std::size_t size = 0;
   for (const PendingCommand& pending : m_pending_commands) {
+    const bool is_superseded =
+        pending.command.kind == CommandKind::kDocument && &pending != newest;
+    if (is_superseded) continue;
     size += pending.command.content.size();
     const bool is_full = commands.size() >= kMaxBatchCommands ||
                          (size > kMaxBatchBytes && !commands.empty());
@@ -224,7 +250,7 @@
                                                     : AgreementType::kAccept);
   message.index = m_state.index() + 1;
   message.ballot = m_ballot;
-  if (!is_prepare) message.value = m_value;
+  if (!is_prepare) PutValue(m_value, &message);
   for (const auto& [member, store] : m_state.members()) {
     if (member == m_settings.self || m_voters.count(member) != 0) continue;
     Send(member, message);
--- a/tests/history.cc
+++ b/tests/history.cc
@@ -63,6 +63,8 @@
 
 void History::SetUp() {
   m_cluster.settings.compact_after_records = 20;
+  // In every second history, replicas fetch each value by its digest.
+  if (m_random() % 2 == 0) m_cluster.settings.max_inline_value_bytes = 0;
   m_cluster.delivery_delays = [this](NodeId from, NodeId to) {
     std::vector<Duration> delays;
     const bool is_partitioned =
--- a/tests/replica_cluster.cc
+++ b/tests/replica_cluster.cc
@@ -124,6 +124,7 @@
   message_count += messages.size();
   for (const OutgoingMessage& message : messages) {
     byte_count += message.body.size();
+    if (is_lost(from, message)) continue;
     for (const Duration delay : delivery_delays(from, message.to)) {
       m_in_flight.emplace(now + delay, InFlight{from, message});
     }
--- a/tests/replica_cluster.h
+++ b/tests/replica_cluster.h
@@ -75,6 +75,9 @@
   std::function<bool(NodeId)> before_sync = [](NodeId) { return true; };
   // Returns the delay of each copy of a message to deliver; none drops it.
   std::function<std::vector<Duration>(NodeId from, NodeId to)> delivery_delays;
+  // Whether the network loses a message.
+  std::function<bool(NodeId from, const OutgoingMessage& message)> is_lost =
+      [](NodeId, const OutgoingMessage&) { return false; };
   std::function<void(NodeId, const Answer&)> on_answer;
   std::function<void()> on_tick;
   // Receives all messages other than MessageKind::kAgreement.
