Flows of a target are given up only if it leaves retransmissions unanswered

Cause: two retransmissions without an answer in between marked the host as lost and reset its flows at once, before the host could have answered them.

Fix: the host gets no new flows at once, as before; its flows are reset 150 ms later (lost_confirmation), if it has answered nothing on any flow of this edge. A stall of the edge meanwhile starts the wait anew. The edge's timer follows the earlier of both deadlines.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -173,17 +173,15 @@
   // Copies `datagram` if the packet opens a flow, so that it can be resent.
   Forwarding OnPacket(const FlowPacket& packet, ByteView datagram,
                       TimePoint now);
-  // Returns opening packets to resend to another target now. Call at
-  // NextTick().
+  // Returns opening packets to resend to another target now, and resets for the
+  // flows of lost targets. Call at NextTick().
   std::vector<Forwarding> OnTick(TimePoint now);
   // Detects stalls of this process and reports health changes of targets. Call
   // every 50 ms. After a stall, the process cannot determine how long targets
   // have been silent.
   void OnStallCheck(TimePoint now);
-  // Returns resets for flows whose target was marked as lost since the last
-  // call.
-  std::vector<Forwarding> TakeResets();
-  // The next deadline of an unanswered opening packet; empty if there is none.
+  // The next deadline of an unanswered opening packet or a lost target; empty
+  // if there is none.
   std::optional<TimePoint> NextTick() const;
   // Removes idle flow records and times out requests. Call every 250 ms.
   void Sweep(TimePoint now);
@@ -214,6 +212,11 @@
     FlowKey flow;
     std::uint64_t target = 0;
   };
+  // A lost target that has not answered the retransmitted packets yet.
+  struct Confirmation {
+    TimePoint at;  // When its flows are given up.
+    std::uint64_t target = 0;
+  };
 
   Forwarding ForwardOpening(const FlowPacket& packet, ByteView datagram,
                             TimePoint now);
@@ -230,7 +233,10 @@
                   TimePoint now);
   void UpdateRequestState(const FlowPacket& packet, Flow* flow, TimePoint now);
   void OnRetransmittedRequest(Flow* flow, TimePoint now);
-  void QueueResetsForTarget(std::uint64_t target);
+  void ResendOpeningPackets(TimePoint now, std::vector<Forwarding>* out);
+  void GiveUpLostTargets(TimePoint now, std::vector<Forwarding>* out);
+  void ResetFlowsOf(std::uint64_t target, std::vector<Forwarding>* out);
+  bool HasStalledSince(TimePoint since, TimePoint now) const;
   void ReportHealthChanges(TimePoint now);
   void ReportHealth(TargetHealthEvent health_event,
                     const TargetDirectory::Entry& entry, TimePoint now) const;
@@ -244,9 +250,9 @@
   // Addresses whose route was removed since this process started.
   std::unordered_set<Endpoint, EndpointHash> m_removed_routes;
   std::unordered_map<FlowKey, Flow, HashFlowKey> m_flows;
-  std::vector<Retry> m_retries;  // Ordered by time.
-  std::vector<Forwarding> m_resets;
-  std::set<std::uint64_t> m_lost;    // Targets last reported as lost.
+  std::vector<Retry> m_retries;               // Ordered by time.
+  std::vector<Confirmation> m_confirmations;  // Ordered by time.
+  std::set<std::uint64_t> m_lost;             // Targets last reported as lost.
   std::set<std::uint64_t> m_silent;  // Targets last reported as silent.
   TimePoint m_health_reported_at;
   TimePoint m_last_stall_check;
--- a/include/sardinelead/flow_placement.h
+++ b/include/sardinelead/flow_placement.h
@@ -37,6 +37,10 @@
   // several flows, without any answer from it. A single retransmission may be
   // due to packet loss.
   std::uint32_t retransmissions_until_lost = 2;
+  // A lost target gets no new flows at once. Its open flows are given up only
+  // if it leaves the retransmitted packets unanswered for this long as well:
+  // both first copies may have been dropped by a full link at one moment.
+  Duration lost_confirmation = std::chrono::milliseconds(150);
   // An unresponsive target is probed with one new flow at this interval.
   Duration probe_interval = std::chrono::milliseconds(700);
   // Load of the local data centre, as a fraction of its slots, at which other
@@ -84,6 +88,7 @@
   TimePoint answered_at;               // Last answer on any flow.
   std::uint32_t repeats = 0;           // Retransmissions since then.
   bool is_lost = false;                // Unreachable or dead.
+  bool is_lost_confirmed = false;      // See PlacementSettings.
 };
 
 class FlowPlacement {
@@ -118,6 +123,10 @@
   void OnClosed(std::uint64_t target);
 
   bool IsLost(std::uint64_t target) const;
+  // Must be called once a target has been lost for `lost_confirmation`. Returns
+  // false if it has answered meanwhile.
+  bool ConfirmLost(std::uint64_t target);
+  bool IsLostConfirmed(std::uint64_t target) const;
   // Whether the target leaves opening packets unanswered or is lost.
   bool IsSuspect(std::uint64_t target, TimePoint now) const;
   const TargetStats* Find(std::uint64_t target) const;
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -199,10 +199,10 @@
   }
   UpdateFlow(packet, announcement.number, now);
   const auto flow = m_flows.find(packet.flow);
-  const bool should_reset =
-      flow != m_flows.end() && flow->second.is_retransmitting &&
-      flow->second.may_retry && m_placement.IsLost(announcement.number) &&
-      m_resets.empty();
+  const bool should_reset = flow != m_flows.end() &&
+                            flow->second.is_retransmitting &&
+                            flow->second.may_retry &&
+                            m_placement.IsLostConfirmed(announcement.number);
   if (should_reset) {
     RemoveFlow(packet.flow);
     return MakeReset(packet, ForwardReason::kTargetLost);
@@ -286,7 +286,8 @@
   flow->is_retransmitting = flow->is_retransmitting ||
                             age >= m_settings.placement.min_retransmission_age;
   if (m_placement.OnRetransmission(flow->target, flow->request_at, now)) {
-    QueueResetsForTarget(flow->target);
+    m_confirmations.push_back(
+        {now + m_settings.placement.lost_confirmation, flow->target});
     const TargetDirectory::Entry* entry = m_directory->Find(flow->target);
     if (entry == nullptr) return;
     m_lost.insert(flow->target);
@@ -294,10 +295,36 @@
   }
 }
 
+// A stalled process has not read the answers of its targets.
+bool CookieBalancer::HasStalledSince(TimePoint since, TimePoint now) const {
+  return m_last_stall_end >= since ||
+         now - m_last_stall_check > kMaxStallCheckGap;
+}
+
+void CookieBalancer::GiveUpLostTargets(TimePoint now,
+                                       std::vector<Forwarding>* out) {
+  const Duration delay = m_settings.placement.lost_confirmation;
+  for (const Confirmation& confirmation : std::exchange(m_confirmations, {})) {
+    if (confirmation.at > now) {
+      m_confirmations.push_back(confirmation);
+      continue;
+    }
+    if (!m_placement.IsLost(confirmation.target)) continue;
+    if (HasStalledSince(confirmation.at - delay, now)) {
+      m_confirmations.push_back({now + delay, confirmation.target});
+      continue;
+    }
+    m_placement.ConfirmLost(confirmation.target);
+    ResetFlowsOf(confirmation.target, out);
+  }
+}
+
 // Lets callers of a lost target reconnect to another one. Resets flows whose
 // request did not reach the target and may be retried, and flows without a
 // pending request.
-void CookieBalancer::QueueResetsForTarget(std::uint64_t target) {
+void CookieBalancer::ResetFlowsOf(std::uint64_t target,
+                                  std::vector<Forwarding>* out) {
+  std::vector<FlowKey> ended;
   for (const auto& [key, flow] : m_flows) {
     const bool is_retryable = flow.is_retransmitting && flow.may_retry;
     const bool is_reset = flow.is_open && flow.target == target &&
@@ -308,13 +335,10 @@
     reset.reason = ForwardReason::kTargetLost;
     reset.flow = key;
     reset.reset_sequence = flow.acknowledged;
-    m_resets.push_back(std::move(reset));
+    out->push_back(std::move(reset));
+    ended.push_back(key);
   }
-}
-
-std::vector<Forwarding> CookieBalancer::TakeResets() {
-  for (const Forwarding& reset : m_resets) RemoveFlow(reset.flow);
-  return std::exchange(m_resets, {});
+  for (const FlowKey& key : ended) RemoveFlow(key);
 }
 
 void CookieBalancer::OnStallCheck(TimePoint now) {
@@ -375,11 +399,18 @@
 }
 
 std::vector<Forwarding> CookieBalancer::OnTick(TimePoint now) {
+  std::vector<Forwarding> out;
+  ResendOpeningPackets(now, &out);
+  GiveUpLostTargets(now, &out);
+  return out;
+}
+
+void CookieBalancer::ResendOpeningPackets(TimePoint now,
+                                          std::vector<Forwarding>* out) {
   const auto later = std::find_if(m_retries.begin(), m_retries.end(),
                                   [&](const Retry& r) { return r.at > now; });
   const std::vector<Retry> due(m_retries.begin(), later);
   m_retries.erase(m_retries.begin(), later);
-  std::vector<Forwarding> out;
   for (const Retry& retry : due) {
     const auto found = m_flows.find(retry.flow);
     const bool is_waiting = found != m_flows.end() && !found->second.is_open &&
@@ -395,14 +426,16 @@
     if (again.action != ForwardAction::kForward) continue;
     again.held = std::move(flow.opening_packet);
     flow.opening_packet = {};
-    out.push_back(std::move(again));
+    out->push_back(std::move(again));
   }
-  return out;
 }
 
 std::optional<TimePoint> CookieBalancer::NextTick() const {
-  if (m_retries.empty()) return std::nullopt;
-  return m_retries.front().at;
+  std::optional<TimePoint> next;
+  if (!m_retries.empty()) next = m_retries.front().at;
+  if (m_confirmations.empty()) return next;
+  const TimePoint confirmation = m_confirmations.front().at;
+  return next ? std::min(*next, confirmation) : confirmation;
 }
 
 bool CookieBalancer::HasValidLease(const TargetDirectory::Entry& entry) const {
