Edges decode a route table in one pass

Cause: DecodeRouteTable parsed the CBOR twice, once for its depth, built a tree of JSON values, and copied it into routes; checks used ordered sets.

Fix: ReadRouteTable takes the values of the parser as they come, which also bounds the nesting. Unknown forms are refused as before, without the number of the route in the error.

--- a/src/route_table.cc
+++ b/src/route_table.cc
@@ -2,10 +2,12 @@
 
 #include <numeric>
 #include <set>
+#include <unordered_set>
 #include <utility>
 
 #include "cbor.h"
 #include "compress.h"
+#include "route_table_reader.h"
 
 namespace sardinelead {
 namespace {
@@ -50,29 +52,6 @@
                       route.objective_ms, route.priority, std::move(pools)});
 }
 
-bool ReadRoute(const json& item, Route* route) {
-  CborArrayReader fields(item);
-  route->name = fields.Text();
-  const auto address = Endpoint::Parse(fields.Text());
-  const std::uint64_t kind = fields.Number();
-  route->timeout_ms = static_cast<std::uint32_t>(fields.Number());
-  route->objective_ms = static_cast<std::uint32_t>(fields.Number());
-  route->priority = static_cast<std::uint32_t>(fields.Number());
-  for (const json& part : fields.Array()) {
-    CborArrayReader share(part);
-    std::string pool = share.Text();
-    const auto weight = static_cast<std::uint32_t>(share.Number());
-    if (!share.ok()) return false;
-    route->pools.push_back({std::move(pool), weight});
-  }
-  const bool is_kind =
-      kind <= static_cast<std::uint64_t>(RequestKind::kDownload);
-  if (!fields.ok() || !address || !is_kind) return false;
-  route->address = *address;
-  route->kind = static_cast<RequestKind>(kind);
-  return true;
-}
-
 }  // namespace
 
 const char* Name(RequestKind kind) {
@@ -102,6 +81,7 @@
 
 void RouteTable::BuildIndex() {
   m_by_address.clear();
+  m_by_address.reserve(routes.size());
   for (std::size_t i = 0; i < routes.size(); ++i) {
     m_by_address.emplace(routes[i].address, i);
   }
@@ -126,7 +106,8 @@
                 "pool \"" + table.pools[i].name + "\" stands twice",
                 FieldPath("pools", i, "name"));
   }
-  std::set<Endpoint> addresses;
+  std::unordered_set<Endpoint, EndpointHash> addresses;
+  addresses.reserve(table.routes.size());
   for (std::size_t i = 0; i < table.routes.size(); ++i) {
     const Route& route = table.routes[i];
     if (!addresses.insert(route.address).second) {
@@ -158,38 +139,15 @@
 Result<RouteTable> DecodeRouteTable(ByteView bytes) {
   const auto plain = Decompress(bytes, kMaxTableBytes);
   if (!plain) return tl::unexpected<Error>(plain.error());
-  const json root = FromCbor(*plain);
-  CborArrayReader reader(root);
-  RouteTable table;
-  table.version = ConfigVersion{reader.Number()};
-  for (const json& item : reader.Array()) {
-    Route route;
-    if (!ReadRoute(item, &route)) {
-      return Fail(ErrorCode::kMalformed, "a route cannot be read",
-                  FieldPath("routes", table.routes.size(), ""));
-    }
-    table.routes.push_back(std::move(route));
-  }
-  for (const json& item : reader.Array()) {
-    CborArrayReader fields(item);
-    Pool pool;
-    pool.name = fields.Text();
-    pool.health_path = fields.Text();
-    pool.max_flows = static_cast<std::uint32_t>(fields.Number());
-    if (!fields.ok()) {
-      return Fail(ErrorCode::kMalformed, "a pool cannot be read",
-                  FieldPath("pools", table.pools.size(), ""));
-    }
-    table.pools.push_back(std::move(pool));
-  }
-  table.idle_timeout = std::chrono::milliseconds(reader.Number());
-  if (!reader.ok() || !reader.AtEnd()) {
+  auto read = ReadRouteTable(*plain);
+  if (!read) {
     return Fail(ErrorCode::kMalformed, "the route table cannot be read");
   }
+  RouteTable& table = *read;
   const auto checked = Check(table);
   if (!checked) return tl::unexpected<Error>(checked.error());
   table.BuildIndex();
-  return table;
+  return std::move(table);
 }
 
 }  // namespace sardinelead
