--- a/src/replica_core.h
+++ b/src/replica_core.h
@@ -4,7 +4,7 @@
 // The implementation of a replica. The Paxos roles share their state and are
 // therefore a single class, which is split over several source files:
 //
-//   replica.cc           startup, journal, message dispatch, status
+//   replica_core.cc      startup, journal, message dispatch, status
 //   replica_acceptor.cc  acceptor: promises and votes
 //   replica_proposer.cc  proposer: proposals, submitted commands
 //   replica_learner.cc   learner: decided values, catch-up
@@ -89,7 +89,7 @@
     Ballot accepted;
   };
 
-  // replica.cc
+  // replica_core.cc
   VoidResult Load(const StoreIdentity& identity);
   VoidResult Replay(const std::vector<Bytes>& records);
   VoidResult Bootstrap();
