--- a/include/sardinelead/replica.h
+++ b/include/sardinelead/replica.h
@@ -70,10 +70,10 @@
   // At this many members, a further replica follows the log without voting
   // until it can replace an unresponsive member.
   std::size_t max_members = 15;
-  // A larger value is not part of a message between replicas, which then has
-  // the value's digest, and is fetched in parts.
+  // Messages between replicas carry a larger value by its digest; the receiver
+  // then fetches it in parts.
   std::size_t max_inline_value_bytes = 16 << 10;
-  // Larger patches and documents are refused.
+  // Patches and documents with a larger encoding are refused with kLimit.
   std::size_t max_command_bytes = 5 << 20;
   // Number of members that must have joined before documents are accepted.
   std::size_t min_members = 1;
--- a/src/replica_core.cc
+++ b/src/replica_core.cc
@@ -298,8 +298,8 @@
   if (now >= m_heartbeat_at) {
     m_heartbeat_at = now + m_settings.heartbeat_interval;
     // Members send no heartbeats to a removed replica, so it must request them.
-    const bool needs_heartbeats = Role() == ReplicaRole::kStarting ||
-                                  Status(now).staleness > kQuorumLossTimeout;
+    const bool needs_heartbeats =
+        Role() == ReplicaRole::kStarting || Staleness(now) > kQuorumLossTimeout;
     for (const NodeId peer : Peers()) {
       SendHeartbeat(peer);
       if (needs_heartbeats) Send(peer, MakeMessage(AgreementType::kHello));
@@ -362,9 +362,16 @@
   status.log_index = m_state.index();
   status.store = m_store;
   status.stores = m_state.members();
-  std::vector<TimePoint> heard;
   for (const auto& [member, store] : m_state.members()) {
     status.members[member] = store != 0;
+  }
+  status.staleness = Staleness(now);
+  return status;
+}
+
+Duration Replica::Core::Staleness(TimePoint now) const {
+  std::vector<TimePoint> heard;
+  for (const auto& [member, store] : m_state.members()) {
     if (store == 0) continue;
     const auto found = m_last_heard.find(member);
     const bool is_self = member == m_settings.self;
@@ -376,8 +383,7 @@
   const std::size_t quorum = m_state.Quorum();
   const TimePoint since =
       heard.size() < quorum ? m_started_at : heard[quorum - 1];
-  status.staleness = now - since;
-  return status;
+  return now - since;
 }
 
 }  // namespace sardinelead
--- a/src/replica_core.h
+++ b/src/replica_core.h
@@ -107,6 +107,8 @@
   bool MatchesCluster(const AgreementMessage& message) const;
   bool IsPermitted(NodeId from, const AgreementMessage& message) const;
   ReplicaRole Role() const;
+  // See ReplicaStatus::staleness.
+  Duration Staleness(TimePoint now) const;
   bool CanVote() const { return Role() == ReplicaRole::kVoting; }
   std::set<NodeId> Peers() const;
   Duration Jittered(Duration base);
--- a/src/replica_members.cc
+++ b/src/replica_members.cc
@@ -63,7 +63,7 @@
 // for unresponsive whose messages it did not receive meanwhile.
 void Replica::Core::UpdateObservation(TimePoint now) {
   const bool was_paused = now - m_observed_at > kMaxObservationGap;
-  const bool has_quorum = Status(now).staleness <= kMaxObservationGap;
+  const bool has_quorum = Staleness(now) <= kMaxObservationGap;
   if (was_paused || !has_quorum) m_observed_since = now;
   m_observed_at = now;
 }
