Pauses of a balancer are no evidence against a target

Cause: evidence depended on when the balancer read its socket. A pause counted as one above 200 ms only, a copy as a retransmission from 150 ms on; the wait before a reset counted from reading, not sending, and ended whether or not the answers that had arrived were read; silence after leaving the rotation and packets dropped from the own full buffer counted as missing answers. Change: ReadProgress measures the shortest time that a target can have had, from when a packet had been sent to when the socket was last found empty; UdpPort reports both, overflows of its buffer and failed sends. Flows are reset once a request was retransmitted a second time and all that had arrived is read, no longer after 150 ms of silence. The same measure decides when an opening packet goes to a second target. Why this works: a pause anywhere only shortens the measured time; there is no limit that a pause can get past.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -17,7 +17,16 @@
 // The per-flow records (m_flows) are statistics only: the load of each target
 // and whether it answers. Losing them at any time does not break flows.
 //
+// A target is given up, and its flows are reset, only once a caller has
+// retransmitted a request to it repeatedly. Answers do not pass through the
+// balancer, so retransmissions are the only sign that a target does not
+// acknowledge. The ages of these copies are measured by ReadProgress, and the
+// decision is made once everything that had arrived has been processed: how
+// fast this process runs, and when it stalls, must not look like a failure of a
+// target. No target is given up because nothing arrives.
+//
 //   Forwarding f = balancer.OnPacket(packet, datagram, now);
+//   balancer.OnDrained(read_at, sent_at);  // After the last pending packet.
 //   for (Forwarding& f : balancer.OnTick(now)) ...
 //
 // docs/design/platform.md compares this design with flow records. Performs no
@@ -35,6 +44,7 @@
 #include <vector>
 
 #include "sardinelead/flow_placement.h"
+#include "sardinelead/read_progress.h"
 #include "sardinelead/route_table.h"
 #include "sardinelead/target_directory.h"
 #include "sardinelead/types.h"
@@ -55,6 +65,9 @@
   std::uint32_t acknowledged = 0;
   std::uint32_t cookie = 0;  // As echoed by the caller; 0 if absent.
   std::uint16_t length = 0;  // Payload length in bytes.
+  // The packet was held by this process, so it arrived earlier than the packets
+  // read with it.
+  bool is_held = false;
 };
 
 enum class ForwardAction : std::uint8_t {
@@ -173,17 +186,21 @@
   // Copies `datagram` if the packet opens a flow, so that it can be resent.
   Forwarding OnPacket(const FlowPacket& packet, ByteView datagram,
                       TimePoint now);
+  // A read that began at `read_at` found no further packet. Everything read has
+  // been passed to OnPacket(), and what was to be forwarded had been sent by
+  // `sent_at`. Must also be called every 50 ms while no packets arrive.
+  void OnDrained(TimePoint read_at, TimePoint sent_at);
+  // This process or its kernel dropped packets. Those forwarded so far say
+  // nothing about targets.
+  void OnPacketsDropped() { m_progress.OnPacketsDropped(); }
   // Returns opening packets to resend to another target now, and resets for the
-  // flows of lost targets. Call at NextTick().
+  // flows of targets that were given up. Call at NextTick(), directly after the
+  // socket was found empty.
   std::vector<Forwarding> OnTick(TimePoint now);
-  // Detects stalls of this process and reports health changes of targets. Call
-  // every 50 ms. After a stall, the process cannot determine how long targets
-  // have been silent.
-  void OnStallCheck(TimePoint now);
-  // The next deadline of an unanswered opening packet or a lost target; empty
-  // if there is none.
+  // When OnTick() must be called; empty if there is no need.
   std::optional<TimePoint> NextTick() const;
-  // Removes idle flow records and times out requests. Call every 250 ms.
+  // Removes idle flow records, times out requests and reports health changes of
+  // targets. Call every 250 ms.
   void Sweep(TimePoint now);
 
   std::size_t flow_count() const { return m_flows.size(); }       // NOLINT
@@ -198,8 +215,12 @@
     std::uint32_t data_end = 0;  // Sequence number after the last data byte.
     bool is_retransmitting = false;  // The caller resends its request.
     bool may_retry = false;          // The route's requests may run twice.
-    TimePoint opened_at;             // Arrival of the first opening packet.
-    TimePoint request_at;            // Arrival of the latest new data.
+    // The round in which the last copy of the request was forwarded that counts
+    // as evidence, and how many retransmissions counted.
+    std::uint64_t sent_round = 0;
+    std::uint32_t retransmissions = 0;
+    TimePoint opened_at;   // Arrival of the first opening packet.
+    TimePoint request_at;  // Arrival of the latest new data.
     TimePoint seen_at;
     std::vector<std::uint64_t> tried;  // Targets tried while opening.
     Bytes opening_packet;              // Empty if it won't be resent.
@@ -211,11 +232,13 @@
     TimePoint at;
     FlowKey flow;
     std::uint64_t target = 0;
+    std::uint64_t sent_round = 0;  // When the opening packet was forwarded.
   };
-  // A lost target that has not answered the retransmitted packets yet.
-  struct Confirmation {
-    TimePoint at;  // When its flows are given up.
+  // A lost target whose flows are reset at the end of the round, unless an
+  // answer was among the packets still unread.
+  struct GivenUp {
     std::uint64_t target = 0;
+    std::uint64_t round = 0;
   };
 
   Forwarding ForwardOpening(const FlowPacket& packet, ByteView datagram,
@@ -232,11 +255,14 @@
   void UpdateFlow(const FlowPacket& packet, std::uint64_t target,
                   TimePoint now);
   void UpdateRequestState(const FlowPacket& packet, Flow* flow, TimePoint now);
-  void OnRetransmittedRequest(Flow* flow, TimePoint now);
+  void OnRetransmittedRequest(const FlowPacket& packet, Flow* flow,
+                              TimePoint now);
   void ResendOpeningPackets(TimePoint now, std::vector<Forwarding>* out);
-  void GiveUpLostTargets(TimePoint now, std::vector<Forwarding>* out);
+  void ResendOpeningPacket(const Retry& retry, TimePoint now,
+                           std::vector<Forwarding>* out);
+  void AddRetry(const Retry& retry);
+  void GiveUpLostTargets(std::vector<Forwarding>* out);
   void ResetFlowsOf(std::uint64_t target, std::vector<Forwarding>* out);
-  bool HasStalledSince(TimePoint since, TimePoint now) const;
   void ReportHealthChanges(TimePoint now);
   void ReportHealth(TargetHealthEvent health_event,
                     const TargetDirectory::Entry& entry, TimePoint now) const;
@@ -250,13 +276,12 @@
   // Addresses whose route was removed since this process started.
   std::unordered_set<Endpoint, EndpointHash> m_removed_routes;
   std::unordered_map<FlowKey, Flow, HashFlowKey> m_flows;
-  std::vector<Retry> m_retries;               // Ordered by time.
-  std::vector<Confirmation> m_confirmations;  // Ordered by time.
-  std::set<std::uint64_t> m_lost;             // Targets last reported as lost.
+  ReadProgress m_progress;
+  std::vector<Retry> m_retries;  // Ordered by time.
+  std::vector<GivenUp> m_given_up;
+  std::set<std::uint64_t> m_lost;    // Targets last reported as lost.
   std::set<std::uint64_t> m_silent;  // Targets last reported as silent.
   TimePoint m_health_reported_at;
-  TimePoint m_last_stall_check;
-  TimePoint m_last_stall_end;  // Request ages from before it are unreliable.
   // Targets that may take new flows, by pool; rebuilt periodically.
   std::unordered_map<std::string, std::vector<PlacementTarget>> m_targets;
   std::uint64_t m_targets_revision = 0;
--- a/include/sardinelead/flow_placement.h
+++ b/include/sardinelead/flow_placement.h
@@ -38,9 +38,10 @@
   // due to packet loss.
   std::uint32_t retransmissions_until_lost = 2;
   // A lost target gets no new flows at once. Its open flows are given up only
-  // if it leaves the retransmitted packets unanswered for this long as well:
-  // both first copies may have been dropped by a full link at one moment.
-  Duration lost_confirmation = std::chrono::milliseconds(150);
+  // once the same request was retransmitted this often: the first copies of
+  // several requests may have been dropped by a full link at one moment, and a
+  // target that has got a second copy acknowledges it at once, however busy.
+  std::uint32_t retransmissions_until_reset = 2;
   // An unresponsive target is probed with one new flow at this interval.
   Duration probe_interval = std::chrono::milliseconds(700);
   // Load of the local data centre, as a fraction of its slots, at which other
@@ -123,10 +124,14 @@
   void OnClosed(std::uint64_t target);
 
   bool IsLost(std::uint64_t target) const;
-  // Must be called once a target has been lost for `lost_confirmation`. Returns
-  // false if it has answered meanwhile.
+  // Must be called once a request to a lost target was retransmitted
+  // `retransmissions_until_reset` times. Returns false if the target has
+  // answered meanwhile.
   bool ConfirmLost(std::uint64_t target);
   bool IsLostConfirmed(std::uint64_t target) const;
+  // All answers that arrived before `at` have been reported. Until this is
+  // called, answers are assumed to be reported at once.
+  void OnReadUntil(TimePoint at) { m_read_until = at; }
   // Whether the target leaves opening packets unanswered or is lost.
   bool IsSuspect(std::uint64_t target, TimePoint now) const;
   const TargetStats* Find(std::uint64_t target) const;
@@ -140,6 +145,7 @@
   bool ShouldSpill(double load, std::uint64_t random) const;
 
   PlacementSettings m_settings;
+  TimePoint m_read_until = TimePoint::max();
   std::unordered_map<std::uint64_t, TargetStats> m_views;
 };
 
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -9,8 +9,6 @@
 // Maximum staleness of the target lists with respect to leases and warm-ups.
 constexpr Duration kTargetListMaxAge = std::chrono::milliseconds(100);
 constexpr std::size_t kMaxRemovedRoutes = 10'000;
-// A longer gap between stall checks means that the process was not running.
-constexpr Duration kMaxStallCheckGap = std::chrono::milliseconds(200);
 constexpr Duration kReportInterval = std::chrono::milliseconds(500);
 
 // Whether sequence number `a` comes after `b`, modulo 2^32.
@@ -169,8 +167,8 @@
   flow->target = *chosen;
   flow->tried.push_back(*chosen);
   m_placement.OnOpening(*chosen, now);
-  m_retries.push_back(
-      {now + m_settings.placement.answer_deadline, key, *chosen});
+  AddRetry({now + m_settings.placement.answer_deadline, key, *chosen,
+            m_progress.round()});
   out.action = ForwardAction::kForward;
   out.reason = reason;
   out.target = *chosen;
@@ -271,51 +269,62 @@
   }
   if (packet.length == 0) return;
   const std::uint32_t end = packet.sequence + packet.length;
-  if (!IsAfter(end, flow->data_end)) return OnRetransmittedRequest(flow, now);
+  if (!IsAfter(end, flow->data_end)) {
+    return OnRetransmittedRequest(packet, flow, now);
+  }
   flow->data_end = end;
   flow->request_at = now;
+  flow->sent_round = m_progress.round();
+  flow->retransmissions = 0;
   if (!flow->is_waiting) m_placement.OnRequest(flow->target);
   flow->is_waiting = true;
 }
 
-void CookieBalancer::OnRetransmittedRequest(Flow* flow, TimePoint now) {
-  const bool is_age_reliable =
-      flow->is_waiting && flow->request_at >= m_last_stall_end;
-  if (!is_age_reliable) return;
-  const Duration age = now - flow->request_at;
-  flow->is_retransmitting = flow->is_retransmitting ||
-                            age >= m_settings.placement.min_retransmission_age;
+// A copy is evidence against the target if the target had time to acknowledge
+// the copy before it.
+void CookieBalancer::OnRetransmittedRequest(const FlowPacket& packet,
+                                            Flow* flow, TimePoint now) {
+  if (!flow->is_waiting || packet.is_held) return;
+  if (!m_progress.IsReliable(flow->sent_round)) {
+    // The copies so far may have been dropped here. This one is the first that
+    // counts.
+    flow->sent_round = m_progress.round();
+    flow->retransmissions = 0;
+    return;
+  }
+  const bool had_time = m_progress.ShortestAge(flow->sent_round) >=
+                        m_settings.placement.min_retransmission_age;
+  if (!had_time) return;
+  flow->sent_round = m_progress.round();
+  flow->is_retransmitting = true;
+  ++flow->retransmissions;
   if (m_placement.OnRetransmission(flow->target, flow->request_at, now)) {
-    m_confirmations.push_back(
-        {now + m_settings.placement.lost_confirmation, flow->target});
     const TargetDirectory::Entry* entry = m_directory->Find(flow->target);
     if (entry == nullptr) return;
     m_lost.insert(flow->target);
     ReportHealth(TargetHealthEvent::kLost, *entry, now);
   }
+  const bool is_given_up =
+      m_placement.IsLost(flow->target) &&
+      flow->retransmissions >= m_settings.placement.retransmissions_until_reset;
+  if (is_given_up) m_given_up.push_back({flow->target, m_progress.round()});
 }
 
-// A stalled process has not read the answers of its targets.
-bool CookieBalancer::HasStalledSince(TimePoint since, TimePoint now) const {
-  return m_last_stall_end >= since ||
-         now - m_last_stall_check > kMaxStallCheckGap;
+void CookieBalancer::OnDrained(TimePoint read_at, TimePoint sent_at) {
+  m_progress.OnDrained(read_at, sent_at);
+  m_placement.OnReadUntil(m_progress.read_until());
 }
 
-void CookieBalancer::GiveUpLostTargets(TimePoint now,
-                                       std::vector<Forwarding>* out) {
-  const Duration delay = m_settings.placement.lost_confirmation;
-  for (const Confirmation& confirmation : std::exchange(m_confirmations, {})) {
-    if (confirmation.at > now) {
-      m_confirmations.push_back(confirmation);
+void CookieBalancer::GiveUpLostTargets(std::vector<Forwarding>* out) {
+  for (const GivenUp& given_up : std::exchange(m_given_up, {})) {
+    if (given_up.round == m_progress.round()) {
+      m_given_up.push_back(given_up);
       continue;
     }
-    if (!m_placement.IsLost(confirmation.target)) continue;
-    if (HasStalledSince(confirmation.at - delay, now)) {
-      m_confirmations.push_back({now + delay, confirmation.target});
-      continue;
+    if (!m_progress.IsReliable(given_up.round)) continue;
+    if (m_placement.ConfirmLost(given_up.target)) {
+      ResetFlowsOf(given_up.target, out);
     }
-    m_placement.ConfirmLost(confirmation.target);
-    ResetFlowsOf(confirmation.target, out);
   }
 }
 
@@ -341,12 +350,6 @@
   for (const FlowKey& key : ended) RemoveFlow(key);
 }
 
-void CookieBalancer::OnStallCheck(TimePoint now) {
-  if (now - m_last_stall_check > kMaxStallCheckGap) m_last_stall_end = now;
-  m_last_stall_check = now;
-  if (now - m_health_reported_at >= kReportInterval) ReportHealthChanges(now);
-}
-
 // Reports targets whose lease expired or was renewed, and lost targets that
 // answer again.
 void CookieBalancer::ReportHealthChanges(TimePoint now) {
@@ -401,41 +404,59 @@
 std::vector<Forwarding> CookieBalancer::OnTick(TimePoint now) {
   std::vector<Forwarding> out;
   ResendOpeningPackets(now, &out);
-  GiveUpLostTargets(now, &out);
+  GiveUpLostTargets(&out);
   return out;
 }
 
+void CookieBalancer::AddRetry(const Retry& retry) {
+  const auto later = std::upper_bound(
+      m_retries.begin(), m_retries.end(), retry,
+      [](const Retry& a, const Retry& b) { return a.at < b.at; });
+  m_retries.insert(later, retry);
+}
+
 void CookieBalancer::ResendOpeningPackets(TimePoint now,
                                           std::vector<Forwarding>* out) {
   const auto later = std::find_if(m_retries.begin(), m_retries.end(),
                                   [&](const Retry& r) { return r.at > now; });
   const std::vector<Retry> due(m_retries.begin(), later);
   m_retries.erase(m_retries.begin(), later);
-  for (const Retry& retry : due) {
-    const auto found = m_flows.find(retry.flow);
-    const bool is_waiting = found != m_flows.end() && !found->second.is_open &&
-                            found->second.target == retry.target &&
-                            found->second.tried.size() == 1 &&
-                            !found->second.opening_packet.empty();
-    const Route* route =
-        m_routes ? m_routes->Find(retry.flow.service) : nullptr;
-    if (!is_waiting || route == nullptr) continue;
-    Flow& flow = found->second;
-    Forwarding again =
-        PlaceFlow(retry.flow, *route, &flow, ForwardReason::kPlacedAgain, now);
-    if (again.action != ForwardAction::kForward) continue;
-    again.held = std::move(flow.opening_packet);
-    flow.opening_packet = {};
-    out->push_back(std::move(again));
+  for (const Retry& retry : due) ResendOpeningPacket(retry, now, out);
+}
+
+void CookieBalancer::ResendOpeningPacket(const Retry& retry, TimePoint now,
+                                         std::vector<Forwarding>* out) {
+  const auto found = m_flows.find(retry.flow);
+  const bool is_waiting = found != m_flows.end() && !found->second.is_open &&
+                          found->second.target == retry.target &&
+                          found->second.tried.size() == 1 &&
+                          !found->second.opening_packet.empty();
+  const Route* route = m_routes ? m_routes->Find(retry.flow.service) : nullptr;
+  if (!is_waiting || route == nullptr) return;
+  const Duration age = m_progress.ShortestAge(retry.sent_round);
+  const Duration deadline = m_settings.placement.answer_deadline;
+  if (age < deadline && m_progress.IsReliable(retry.sent_round)) {
+    // This process was late. The answer may still arrive in time.
+    Retry again = retry;
+    again.at = now + (deadline - age);
+    AddRetry(again);
+    return;
   }
+  Flow& flow = found->second;
+  Forwarding again =
+      PlaceFlow(retry.flow, *route, &flow, ForwardReason::kPlacedAgain, now);
+  if (again.action != ForwardAction::kForward) return;
+  again.held = std::move(flow.opening_packet);
+  flow.opening_packet = {};
+  out->push_back(std::move(again));
 }
 
 std::optional<TimePoint> CookieBalancer::NextTick() const {
   std::optional<TimePoint> next;
   if (!m_retries.empty()) next = m_retries.front().at;
-  if (m_confirmations.empty()) return next;
-  const TimePoint confirmation = m_confirmations.front().at;
-  return next ? std::min(*next, confirmation) : confirmation;
+  if (m_given_up.empty()) return next;
+  const TimePoint now = m_progress.read_until();
+  return next ? std::min(*next, now) : now;
 }
 
 bool CookieBalancer::HasValidLease(const TargetDirectory::Entry& entry) const {
@@ -474,9 +495,11 @@
 }
 
 void CookieBalancer::Sweep(TimePoint now) {
+  if (now - m_health_reported_at >= kReportInterval) ReportHealthChanges(now);
   std::vector<FlowKey> expired;
   for (auto& [key, flow] : m_flows) {
-    const Duration idle = now - flow.seen_at;
+    // A packet of the flow may still wait to be read.
+    const Duration idle = std::min(now, m_progress.read_until()) - flow.seen_at;
     if (idle > m_settings.flow_idle_timeout) expired.push_back(key);
     if (!flow.is_waiting || idle <= m_settings.request_timeout) continue;
     // When the set of balancers changes, routers move flows to other balancers,
--- a/src/flow_placement.cc
+++ b/src/flow_placement.cc
@@ -141,7 +141,8 @@
   if (found == m_views.end()) return false;
   if (found->second.is_lost) return true;
   if (!found->second.unanswered_since) return false;
-  return now - *found->second.unanswered_since > m_settings.answer_deadline;
+  return std::min(now, m_read_until) - *found->second.unanswered_since >
+         m_settings.answer_deadline;
 }
 
 const TargetStats* FlowPlacement::Find(std::uint64_t target) const {
@@ -220,8 +221,10 @@
 bool FlowPlacement::OnRetransmission(std::uint64_t target, TimePoint sent_at,
                                      TimePoint now) {
   TargetStats& view = m_views[target];
+  // An answer that was read together with the request came before the target
+  // can have got the request.
   const bool is_evidence = now - sent_at >= m_settings.min_retransmission_age &&
-                           view.answered_at < sent_at;
+                           view.answered_at <= sent_at;
   if (!is_evidence || view.is_lost) return false;
   ++view.repeats;
   view.is_lost = view.repeats >= m_settings.retransmissions_until_lost;
--- a/src/udp_batch.cc
+++ b/src/udp_batch.cc
@@ -44,13 +44,41 @@
   }
 }
 
+void ReceiveBatch::CountOverflows(int handle) {
+  const int enabled = 1;
+  const int result =
+      setsockopt(handle, SOL_SOCKET, SO_RXQ_OVFL, &enabled, sizeof(enabled));
+  if (result != 0) return;
+  m_controls.resize(kBatchSize);
+  for (std::size_t i = 0; i < kBatchSize; ++i) {
+    m_headers[i].msg_hdr.msg_control = m_controls[i].bytes.data();
+  }
+}
+
 std::size_t ReceiveBatch::Receive(int handle) {
   for (mmsghdr& header : m_headers) {
     header.msg_hdr.msg_namelen = sizeof(SocketAddress);
+    header.msg_hdr.msg_controllen = m_controls.empty() ? 0 : kControlBytes;
   }
   const int received =
       recvmmsg(handle, m_headers.data(), kBatchSize, MSG_DONTWAIT, nullptr);
-  return received < 0 ? 0 : static_cast<std::size_t>(received);
+  if (received <= 0) return 0;
+  const auto count = static_cast<std::size_t>(received);
+  ReadOverflows(m_headers[count - 1].msg_hdr);
+  return count;
+}
+
+// The count of the last datagram includes those of the ones before it. A
+// datagram that arrived before the first overflow has none.
+void ReceiveBatch::ReadOverflows(const msghdr& header) {
+  if (m_controls.empty()) return;
+  const cmsghdr* control = CMSG_FIRSTHDR(&header);
+  const bool has_count = control != nullptr &&
+                         control->cmsg_level == SOL_SOCKET &&
+                         control->cmsg_type == SO_RXQ_OVFL &&
+                         control->cmsg_len == CMSG_LEN(sizeof(m_overflowed));
+  if (!has_count) return;
+  std::memcpy(&m_overflowed, CMSG_DATA(control), sizeof(m_overflowed));
 }
 
 void SendBatch::Add(const Endpoint& to, ByteView head, ByteView body) {
--- a/src/udp_batch.h
+++ b/src/udp_batch.h
@@ -36,9 +36,16 @@
   ReceiveBatch(const ReceiveBatch&) = delete;
   ReceiveBatch& operator=(const ReceiveBatch&) = delete;
 
+  // Makes the kernel report datagrams that it drops because the socket's
+  // receive buffer is full. Must be called before Receive(). Without support in
+  // the kernel, overflowed() remains 0.
+  void CountOverflows(int handle);
   // Fills the batch without blocking. Returns the number of datagrams received,
   // or 0 if none is pending or the socket failed.
   std::size_t Receive(int handle);
+  // Datagrams dropped by the kernel since the socket was opened, as of the last
+  // datagram received. Wraps around.
+  std::uint32_t overflowed() const { return m_overflowed; }  // NOLINT
 
   // Valid until the next Receive. Requires i < the result of Receive.
   ByteView packet(std::size_t i) const {  // NOLINT
@@ -55,7 +62,17 @@
   }
 
  private:
+  static constexpr std::size_t kControlBytes =
+      CMSG_SPACE(sizeof(std::uint32_t));
+  struct alignas(cmsghdr) Control {
+    std::array<std::uint8_t, kControlBytes> bytes{};
+  };
+
+  void ReadOverflows(const msghdr& header);
+
   std::vector<std::uint8_t> m_buffers;
+  std::vector<Control> m_controls;  // Empty if overflows are not counted.
+  std::uint32_t m_overflowed = 0;
   std::array<SocketAddress, kBatchSize> m_sources{};
   std::array<iovec, kBatchSize> m_iovecs{};
   std::array<mmsghdr, kBatchSize> m_headers{};
--- a/src/udp_port.cc
+++ b/src/udp_port.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "asio_endpoint.h"
+#include "clock.h"
 
 namespace sardinelead {
 namespace {
@@ -25,6 +26,7 @@
     return Fail(ErrorCode::kIo, "cannot receive on " + listen.ToString() +
                                     ": " + error.message());
   }
+  m_received->CountOverflows(m_socket.native_handle());
   Endpoint bound = listen;
   bound.port = m_socket.local_endpoint(error).port();
   WaitReadable();
@@ -47,24 +49,40 @@
 
 void UdpPort::Receive() {
   for (int batch = 0; batch < kMaxBatchesPerWakeup; ++batch) {
+    const TimePoint read_at = SteadyNow();
     const std::size_t count = m_received->Receive(m_socket.native_handle());
+    NoticeOverflows();
     for (std::size_t i = 0; i < count; ++i) {
       if (m_received->is_cut(i)) continue;
       m_hooks.on_datagram(m_received->packet(i), m_received->source(i));
     }
     if (count > 0) m_hooks.on_batch_end();
     Flush();
-    if (count < kBatchSize) return;
+    if (count == kBatchSize) continue;
+    if (m_hooks.on_drained) m_hooks.on_drained(read_at, SteadyNow());
+    return;
   }
 }
 
+void UdpPort::NoticeOverflows() {
+  // Unsigned subtraction allows for the counter's wrap-around.
+  const std::uint32_t added =
+      m_received->overflowed() - static_cast<std::uint32_t>(m_overflowed);
+  if (added == 0) return;
+  m_overflowed += added;
+  if (m_hooks.on_dropped) m_hooks.on_dropped();
+}
+
 void UdpPort::Send(const Endpoint& to, ByteView head, ByteView body) {
   if (m_queued->IsFull()) Flush();
   m_queued->Add(to, head, body);
 }
 
 void UdpPort::Flush() {
-  if (!m_queued->empty()) m_queued->Flush(m_socket.native_handle(), &m_counts);
+  if (m_queued->empty()) return;
+  const std::uint64_t failed = m_counts.failed;
+  m_queued->Flush(m_socket.native_handle(), &m_counts);
+  if (m_counts.failed != failed && m_hooks.on_dropped) m_hooks.on_dropped();
 }
 
 }  // namespace sardinelead
--- a/src/udp_port.h
+++ b/src/udp_port.h
@@ -2,6 +2,10 @@
 #define SARDINELEAD_SRC_UDP_PORT_H_
 
 // A UDP socket on an Asio context that receives and sends datagrams in batches.
+//
+// Reports how far it has read: a process that stalls finds datagrams that have
+// waited, and what it concludes from their times must allow for that; see
+// sardinelead/read_progress.h.
 
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
@@ -22,6 +26,14 @@
     std::function<void(ByteView datagram, const Endpoint& source)> on_datagram;
     // Called after all datagrams of a batch. Queued sends are flushed after it.
     std::function<void()> on_batch_end;
+    // A read that began at `read_at` found the socket empty. All datagrams
+    // before have been handled, and what was sent for them had been passed to
+    // the kernel by `sent_at`. May be empty.
+    std::function<void(TimePoint read_at, TimePoint sent_at)> on_drained = {};
+    // The kernel dropped received datagrams or rejected sent ones. Called
+    // before the hooks above for datagrams that were received after it. May be
+    // empty.
+    std::function<void()> on_dropped = {};
   };
 
   UdpPort(asio::io_context* context, Hooks hooks);
@@ -34,16 +46,26 @@
   // SendBatch::kHeadBytes; `body` must remain valid until the next Flush().
   void Send(const Endpoint& to, ByteView head, ByteView body);
   void Flush();
+  // Handles the datagrams that have arrived, without waiting for others. Must
+  // not be called from a hook.
+  void Poll() { Receive(); }
+
+  // Received datagrams that the kernel dropped because they were not read in
+  // time.
+  std::uint64_t overflowed() const { return m_overflowed; }   // NOLINT
+  const SendCounts& send_counts() const { return m_counts; }  // NOLINT
 
  private:
   void WaitReadable();
   void Receive();
+  void NoticeOverflows();
 
   asio::ip::udp::socket m_socket;
   Hooks m_hooks;
   std::unique_ptr<ReceiveBatch> m_received = std::make_unique<ReceiveBatch>();
   std::unique_ptr<SendBatch> m_queued = std::make_unique<SendBatch>();
   SendCounts m_counts;
+  std::uint64_t m_overflowed = 0;
 };
 
 }  // namespace sardinelead
