--- a/soak/actors.h
+++ b/soak/actors.h
@@ -28,12 +28,21 @@
 constexpr std::uint16_t kCallRelayPort = 9166;
 constexpr Duration kHeartbeat = std::chrono::milliseconds(400);
 
+struct ConfigPlan {
+  // Routes without traffic that the configuration grows to.
+  std::size_t idle_routes = 0;
+  // The longest time between two changes.
+  Duration max_interval = std::chrono::milliseconds(1500);
+};
+
 // State shared by all actors.
 struct SoakState {
   Ledger ledger;
   std::vector<std::uint32_t> controls;
   std::vector<std::uint32_t> edges;
   std::atomic<bool> is_over{false};
+  // How the configuration grows and changes.
+  ConfigPlan config_plan;
 
   // Edges that the routers currently send traffic to.
   std::vector<std::uint32_t> InRotation() const;
--- a/soak/operator.cc
+++ b/soak/operator.cc
@@ -40,7 +40,7 @@
 
 bool SendConfig(SoakState* world, std::uint64_t version, Duration limit,
                 std::mt19937_64* random) {
-  const std::string text = ConfigText(version);
+  const std::string text = ConfigText(version, world->config_plan.idle_routes);
   world->ledger.OnSent(version, text, RoutesOf(version));
   const TimePoint end = SteadyNow() + limit;
   while (SteadyNow() < end && !world->is_over) {
@@ -82,7 +82,7 @@
     if (random() % 4 == 0) {
       const std::uint32_t control =
           world->controls[random() % world->controls.size()];
-      const std::string half = ConfigText(version + 1).substr(0, 200);
+      const std::string half = ConfigText(version + 1, 0).substr(0, 200);
       const auto answer =
           CallControl(control, HttpMethod::kPost, "/config/replace", half);
       if (answer && answer->status == 200) {
@@ -91,7 +91,9 @@
       }
     }
     if (concurrent.joinable()) concurrent.join();
-    Sleep(milliseconds(random() % 1500));
+    const auto interval = static_cast<std::uint64_t>(
+        world->config_plan.max_interval / milliseconds(1));
+    Sleep(milliseconds(random() % interval));
   }
 }
 
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -139,6 +139,7 @@
                                          : 1));
   process->is_expected_to_end = false;
   process->is_stopped = false;
+  process->is_paused = false;
   process->start_at = TimePoint{};
   process->child->Start(arguments, folder + "/boot.json");
 }
@@ -400,8 +401,36 @@
   ChangeTarget();
 }
 
+// The periods of the balancers begin at different times.
+void System::ApplyShares(TimePoint now) {
+  if (m_settings.edge_share >= 1.0) return;
+  const Duration period = m_settings.share_period;
+  const auto running =
+      std::chrono::duration_cast<Duration>(period * m_settings.edge_share);
+  for (const auto& process : m_processes) {
+    const bool is_edge = !process->is_control && process->child->IsRunning() &&
+                         !process->is_stopped;
+    if (!is_edge) continue;
+    const Duration offset = period * (process->node % 16) / 16;  // NOLINT
+    const bool is_paused =
+        (now.time_since_epoch() + offset) % period >= running;
+    if (is_paused == process->is_paused) continue;
+    process->is_paused = is_paused;
+    process->child->Signal(is_paused ? SIGSTOP : SIGCONT);
+  }
+}
+
+void System::EndShares() {
+  m_settings.edge_share = 1.0;
+  for (const auto& process : m_processes) {
+    if (process->is_paused) process->child->Signal(SIGCONT);
+    process->is_paused = false;
+  }
+}
+
 void System::Watch() {
   const TimePoint now = SteadyNow();
+  ApplyShares(now);
   std::vector<ScheduledAction> due;
   for (auto it = m_scheduled.begin(); it != m_scheduled.end();) {
     if (it->at > now) {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -31,6 +31,10 @@
   // system must serve again.
   Duration faults = std::chrono::seconds(20);
   bool has_faults = true;
+  // The share of each period in which each balancer runs; it is paused for the
+  // rest, as by a scheduler that grants it a share of a processor.
+  double edge_share = 1.0;
+  Duration share_period = std::chrono::milliseconds(100);
 };
 
 class System {
@@ -44,8 +48,10 @@
   void InjectFault();
   // Ends all faults and restarts what is down.
   void ClearFaults();
-  // Runs due actions and reaps and restarts processes. An unexpected exit is a
-  // violation.
+  // Balancers run all the time from now on.
+  void EndShares();
+  // Runs due actions, pauses and continues balancers according to their share,
+  // and reaps and restarts processes. An unexpected exit is a violation.
   void Watch();
 
  private:
@@ -54,7 +60,8 @@
     bool is_control = false;
     std::unique_ptr<Child> child;
     bool is_expected_to_end = false;
-    bool is_stopped = false;  // By SIGSTOP.
+    bool is_stopped = false;  // By a fault.
+    bool is_paused = false;   // Has had its share.
     bool is_full = false;
     int starts = 0;
     TimePoint start_at;  // When to restart it; zero for never.
@@ -85,6 +92,7 @@
   void KillAllControls();
   void ChangeTarget();
   void RestartEdges();
+  void ApplyShares(TimePoint now);
 
   SoakSettings m_settings;
   SoakState* m_state;
--- a/soak/services.cc
+++ b/soak/services.cc
@@ -1,5 +1,6 @@
 #include "services.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <thread>
 #include <utility>
@@ -15,6 +16,8 @@
 constexpr std::uint32_t kServiceNet = 0xc6120000;  // 198.18.0.0
 constexpr std::uint32_t kExtraAddress = 3;
 constexpr std::uint16_t kFirstExtraPort = 9000;
+constexpr std::uint32_t kIdleAddress = 0x1000;
+constexpr std::uint16_t kIdlePort = 443;
 
 Endpoint ServiceAt(std::uint32_t last, std::uint16_t port) {
   return {IpAddress::FromV4(kServiceNet + last), port};
@@ -48,9 +51,16 @@
   return routes;
 }
 
-std::string ConfigText(std::uint64_t version) {
+std::string ConfigText(std::uint64_t version, std::size_t max_idle_routes) {
   json routes = json::array();
-  for (const auto& [service, pool] : RoutesOf(version)) {
+  std::map<Endpoint, std::string> all = RoutesOf(version);
+  const std::size_t idle = std::min<std::size_t>(
+      max_idle_routes, kIdleRoutesPerVersion * (version - 1));
+  for (std::size_t i = 0; i < idle; ++i) {
+    all[ServiceAt(kIdleAddress + static_cast<std::uint32_t>(i), kIdlePort)] =
+        "gallery";
+  }
+  for (const auto& [service, pool] : all) {
     routes.push_back(
         {{"name", "r-" + service.ToString()},
          {"hostname", service.address.ToString()},
--- a/soak/services.h
+++ b/soak/services.h
@@ -21,6 +21,7 @@
 // Number of routes that only some configurations have. Their services are
 // ExtraService(), with ports from kFirstExtraPort.
 constexpr std::uint16_t kExtraRoutes = 6;
+constexpr std::size_t kIdleRoutesPerVersion = 400;
 
 Endpoint NotesService();  // Not idempotent.
 Endpoint WatchService();  // Idempotent, as are all others.
@@ -32,7 +33,9 @@
 // Returns the pool of each routed service: the fixed routes, and extra routes
 // selected by a hash of the version.
 std::map<Endpoint, std::string> RoutesOf(std::uint64_t version);
-std::string ConfigText(std::uint64_t version);
+// Version 1 has no idle routes, each later one up to kIdleRoutesPerVersion more
+// until there are `max_idle_routes`.
+std::string ConfigText(std::uint64_t version, std::size_t max_idle_routes);
 
 void Sleep(Duration duration);
 Result<HttpClientResponse> CallControl(std::uint32_t node, HttpMethod method,
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -33,6 +33,12 @@
 DEFINE_int32(callers, 8, "callers at a time");
 DEFINE_int32(network, 77, "addresses are 127.NETWORK.x.x");
 DEFINE_bool(faults, true, "false leaves only changes of the configuration");
+DEFINE_double(edge_share, 1,
+              "the share of each period in which each balancer runs");
+DEFINE_int32(share_period_ms, 100, "the period of --edge_share");
+DEFINE_uint64(idle_routes, 0, "routes that the configuration grows to");
+DEFINE_uint64(change_interval_ms, 1500,
+              "the longest time between two changes of the configuration");
 
 namespace sardinelead::soak {
 namespace {
@@ -44,6 +50,8 @@
 constexpr Duration kRecovery = seconds(12);
 constexpr Duration kCheckTime = seconds(4);
 constexpr double kMinServedShare = 0.97;
+// Short enough to pause and continue balancers in time.
+constexpr Duration kWatchInterval = milliseconds(1);
 
 void RunFor(System* system, Duration span, bool disturb,
             std::mt19937_64* random) {
@@ -55,7 +63,7 @@
       system->InjectFault();
       next = SteadyNow() + milliseconds((*random)() % 2500);
     }
-    std::this_thread::sleep_for(milliseconds(20));
+    std::this_thread::sleep_for(kWatchInterval);
   }
 }
 
@@ -92,9 +100,13 @@
   settings.edges = FLAGS_edges;
   settings.targets = FLAGS_targets;
   settings.network = FLAGS_network;
+  settings.edge_share = FLAGS_edge_share;
+  settings.share_period = milliseconds(FLAGS_share_period_ms);
   std::filesystem::remove_all(settings.folder);
   std::printf("seed %llu\n", static_cast<unsigned long long>(seed));  // NOLINT
   SoakState world;
+  world.config_plan.idle_routes = FLAGS_idle_routes;
+  world.config_plan.max_interval = milliseconds(FLAGS_change_interval_ms);
   std::vector<std::thread> actors;
   std::mt19937_64 random(seed + 1);
   {
@@ -129,6 +141,7 @@
                                 std::to_string(served + failed) +
                                 " requests were served after all was healed");
     }
+    system.EndShares();
     CheckReadBack(&world);
     CheckMetrics(&world);
     world.is_over = true;
