Balancers get and apply the changes of routes, not the whole table

Cause: the feed carried whole tables only; decoding, the comparison for removed routes and the new index cost as much as the table. Change: RouteChange is the difference of two versions, RouteTable::Apply() takes it in place. Polls say whether changes are understood, so that old and new programs work together. Requests for routes that are not answered back off, as a large table takes a while on a slow link. Control VMs no longer request from each other the routes that they get by replication.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -43,6 +43,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "sardinelead/error.h"
 #include "sardinelead/flow_placement.h"
 #include "sardinelead/read_progress.h"
 #include "sardinelead/route_table.h"
@@ -181,8 +182,11 @@
   CookieBalancer(CookieBalancerSettings settings,
                  const TargetDirectory* directory, Hooks hooks);
 
-  // Ignores a table that is not newer than the current one.
-  void SetRoutes(RouteTablePtr routes);
+  // Ignores a table that is not newer than the current one. Costs one lookup
+  // for each route of both.
+  void SetRoutes(RouteTable routes);
+  // Costs as much as what changes. Fails like RouteTable::Apply().
+  Result<void> ApplyRouteChange(const RouteChange& change);
   // Copies `datagram` if the packet opens a flow, so that it can be resent.
   Forwarding OnPacket(const FlowPacket& packet, ByteView datagram,
                       TimePoint now);
@@ -205,6 +209,7 @@
 
   std::size_t flow_count() const { return m_flows.size(); }       // NOLINT
   const FlowPlacement& placement() const { return m_placement; }  // NOLINT
+  const RouteTable& routes() const { return m_routes; }           // NOLINT
 
  private:
   struct Flow {
@@ -252,6 +257,7 @@
                                                     TimePoint now);
   bool HasValidLease(const TargetDirectory::Entry& entry) const;
   void RebuildTargetLists();
+  void AddRemovedRoute(const Endpoint& address);
   void UpdateFlow(const FlowPacket& packet, std::uint64_t target,
                   TimePoint now);
   void UpdateRequestState(const FlowPacket& packet, Flow* flow, TimePoint now);
@@ -272,7 +278,7 @@
   const TargetDirectory* m_directory;
   Hooks m_hooks;
   FlowPlacement m_placement;
-  RouteTablePtr m_routes;
+  RouteTable m_routes;  // Version 0 before the first one.
   // Addresses whose route was removed since this process started.
   std::unordered_set<Endpoint, EndpointHash> m_removed_routes;
   std::unordered_map<FlowKey, Flow, HashFlowKey> m_flows;
--- a/include/sardinelead/feed_follower.h
+++ b/include/sardinelead/feed_follower.h
@@ -35,7 +35,11 @@
 class FeedFollower {
  public:
   struct Hooks {
-    std::function<void(RouteTablePtr routes)> on_routes;
+    // A whole table, newer than the routes in use.
+    std::function<void(RouteTable routes)> on_routes;
+    // A change of the routes in use. If it cannot be applied, the whole table
+    // is requested.
+    std::function<Result<void>(const RouteChange& change)> on_route_change;
     // A control VM became reachable (`is_heard`) or silent.
     std::function<void(NodeId source, bool is_heard)> on_source_change;
     // A malformed message was received.
@@ -94,6 +98,10 @@
   void ApplySilence(const struct SilenceReport& report, const Source& source,
                     TimePoint now);
   void OnRoutes(NodeId from, ByteView bytes);
+  void OnRouteChanges(NodeId from, const struct FeedRouteChanges& message);
+  Result<void> ApplyRouteChange(ByteView bytes);
+  // Returns whether routes may be requested now, and if so, counts the request.
+  bool TakeRoutesRequest(TimePoint now);
   void AddSource(NodeId id);
   OutgoingMessage MakePoll(NodeId to, bool wants_routes, TimePoint now) const;
   bool WantsAllTargets(NodeId from, const Source& source, TimePoint now) const;
@@ -110,7 +118,9 @@
   std::map<NodeId, Source> m_sources;
   ConfigVersion m_version;  // Of the routes in use.
   std::optional<TimePoint> m_first_report_at;
-  TimePoint m_routes_requested_at;
+  bool m_needs_whole_table = false;  // A change could not be applied.
+  TimePoint m_next_routes_request_at;
+  std::uint32_t m_unanswered_requests = 0;  // For routes.
   TimePoint m_ticked_at;
   TimePoint m_covered_time;
   std::size_t m_balancers = 1;
--- a/include/sardinelead/feed_publisher.h
+++ b/include/sardinelead/feed_publisher.h
@@ -43,7 +43,9 @@
   struct Hooks {
     // The voting control VMs.
     std::function<std::vector<NodeId>()> members;
-    std::function<EncodedRoutes()> routes;
+    std::function<ConfigVersion()> routes_version;
+    // What a subscriber with version `held` lacks; 0 asks for the whole table.
+    std::function<RouteUpdate(ConfigVersion held)> routes_since;
   };
 
   // `epoch` must differ between starts of this process. `directory` must
@@ -103,6 +105,7 @@
     TimePoint heard_at;
   };
 
+  OutgoingMessage MakeRoutes(NodeId id, const struct FeedPoll& poll) const;
   OutgoingMessage MakeReport(NodeId id, Subscriber* subscriber, TimePoint now);
   // `is_batch_due`: whether the batch interval permits sending changes now.
   bool IsDue(const Subscriber& subscriber, ConfigVersion version,
--- a/include/sardinelead/route_table.h
+++ b/include/sardinelead/route_table.h
@@ -2,11 +2,14 @@
 #define SARDINELEAD_ROUTE_TABLE_H_
 
 // Routing configuration for CookieBalancer: public addresses (routes) and the
-// pools of targets behind them. A RouteTable is replaced as a whole; Check()
-// validates it.
+// pools of targets behind them. Check() validates a RouteTable. A newer version
+// replaces it as a whole or, at the cost of what differs, by a RouteChange:
+//
+//   const RouteChange change = DifferenceOf(base, next);
+//   auto applied = table.Apply(change);  // `table` equals `base` before.
 
 #include <cstdint>
-#include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -29,6 +32,10 @@
 struct PoolShare {
   std::string pool;
   std::uint32_t weight = 1;
+
+  friend bool operator==(const PoolShare& a, const PoolShare& b) {
+    return a.weight == b.weight && a.pool == b.pool;
+  }
 };
 
 struct Route {
@@ -43,12 +50,25 @@
   // Selects the pool of a flow. The same hash always gives the same pool.
   const std::string& SelectPool(std::uint64_t flow_hash) const;
 };
+bool operator==(const Route& a, const Route& b);
 
 struct Pool {
   std::string name;
   std::string health_path;
   std::uint32_t max_flows = 0;  // Per target; 0 means unlimited.
 };
+bool operator==(const Pool& a, const Pool& b);
+
+// What differs between two versions of a route table.
+struct RouteChange {
+  ConfigVersion base;
+  ConfigVersion version;          // Of the table after the change.
+  std::vector<Endpoint> removed;  // Addresses of routes.
+  std::vector<Route> changed;     // New routes, or new contents of routes.
+  // All pools after the change; empty if they are the same.
+  std::optional<std::vector<Pool>> pools;
+  Duration idle_timeout{0};  // After the change.
+};
 
 class RouteTable {
  public:
@@ -59,14 +79,19 @@
 
   // Must be called after `routes` changes and before Find().
   void BuildIndex();
+  // Costs as much as what changes. Routes may change their places in `routes`.
+  // Errors, after which the table is as it was: kVersionConflict if the change
+  // is based on another version, or that of Check() for a changed route.
+  Result<void> Apply(const RouteChange& change);
   // Returns nullptr if no route has this address. Costs one hash lookup.
   const Route* Find(const Endpoint& address) const;
   std::set<std::string> PoolNames() const;
 
  private:
+  void Remove(const Endpoint& address);
+
   std::unordered_map<Endpoint, std::size_t, EndpointHash> m_by_address;
 };
-using RouteTablePtr = std::shared_ptr<const RouteTable>;
 
 // Errors: kUnknownName (a route's pool), kDuplicate (address or pool),
 // kOutOfRange (zero timeout or no non-zero weight). Each has the field's path.
@@ -77,6 +102,12 @@
 Bytes EncodeRouteTable(const RouteTable& table);
 Result<RouteTable> DecodeRouteTable(ByteView bytes);
 
+// Both tables need an index. Costs one lookup for each of their routes.
+RouteChange DifferenceOf(const RouteTable& base, const RouteTable& next);
+Bytes EncodeRouteChange(const RouteChange& change);
+// Fails like DecodeRouteTable(). The routes are checked by RouteTable::Apply().
+Result<RouteChange> DecodeRouteChange(ByteView bytes);
+
 }  // namespace sardinelead
 
 #endif  // SARDINELEAD_ROUTE_TABLE_H_
--- a/include/sardinelead/target_feed.h
+++ b/include/sardinelead/target_feed.h
@@ -8,12 +8,13 @@
 // poll states which revisions the balancer has. Each control VM pushes updates
 // that it received from targets itself, immediately, and retransmits each until
 // the balancer acknowledges it: changed targets as records with a revision, and
-// the version of its routes. A balancer with older routes then requests them
-// from one control VM. Twice a second a control VM reports which of the targets
-// that send heartbeats to it are silent, and for how long; all others are
-// alive. Control VMs subscribe to each other in the same way. A report lists
-// the control VMs that are subscribed to its sender, so a balancer that knows
-// one of them learns of the others.
+// the version of its routes. A balancer with older routes then requests what
+// has changed since its version, or the whole table, from one control VM. Twice
+// a second a control VM reports which of the targets that send heartbeats to it
+// are silent, and for how long; all others are alive. Control VMs subscribe to
+// each other in the same way. A report lists the control VMs that are
+// subscribed to its sender, so a balancer that knows one of them learns of the
+// others.
 //
 // Targets that a control VM knows only from other control VMs are sent only to
 // subscribers that have just started. Thus a new subscriber gets all targets
@@ -28,6 +29,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "sardinelead/types.h"
 
@@ -63,10 +65,14 @@
   Duration startup_wait = std::chrono::milliseconds(1500);
 };
 
-// The routes of a control VM, encoded once for all subscribers.
-struct EncodedRoutes {
-  ConfigVersion version;
-  std::shared_ptr<const Bytes> bytes;
+// What brings a subscriber's routes up to date, encoded once for all
+// subscribers.
+struct RouteUpdate {
+  // Outputs of EncodeRouteChange(), each based on the one before. Empty if the
+  // whole table is needed.
+  std::vector<std::shared_ptr<const Bytes>> changes;
+  // The output of EncodeRouteTable() if `changes` is empty.
+  std::shared_ptr<const Bytes> table;
 };
 
 }  // namespace sardinelead
--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -10,20 +10,20 @@
     : m_settings(std::move(settings)),
       m_hooks(std::move(hooks)),
       m_directory(m_hooks.on_target_replaced),
-      m_publisher(m_settings.feed, m_settings.epoch, &m_directory,
-                  {[this] {
-                     std::vector<NodeId> members;
-                     const auto status = m_replica->Status(TimePoint{});
-                     for (const auto& [id, joined] : status.members) {
-                       members.push_back(id);
-                     }
-                     return members;
-                   },
-                   [this] { return m_routes; }}),
+      m_publisher(
+          m_settings.feed, m_settings.epoch, &m_directory,
+          {[this] {
+             std::vector<NodeId> members;
+             const auto status = m_replica->Status(TimePoint{});
+             for (const auto& [id, joined] : status.members) {
+               members.push_back(id);
+             }
+             return members;
+           },
+           [this] { return m_routes.version(); },
+           [this](ConfigVersion held) { return m_routes.UpdateFrom(held); }}),
       m_follower(m_settings.feed, m_settings.replica.contacts, &m_directory,
-                 FollowerHooks()) {
-  m_routes.bytes = std::make_shared<const Bytes>();
-}
+                 FollowerHooks()) {}
 
 Result<void> ControlPlane::Start(TimePoint now) {
   LoadTargets(now);
@@ -38,7 +38,8 @@
 FeedFollower::Hooks ControlPlane::FollowerHooks() const {
   FeedFollower::Hooks hooks;
   // Routes are received through replication, not through the feed.
-  hooks.on_routes = [](const RouteTablePtr&) {};
+  hooks.on_routes = [](const RouteTable&) {};
+  hooks.on_route_change = [](const RouteChange&) { return Result<void>{}; };
   hooks.on_source_change = [](NodeId, bool) {};
   hooks.on_error = [this](NodeId, const Error& error) {
     m_hooks.on_error(error);
@@ -154,16 +155,16 @@
 
 void ControlPlane::UpdateRoutes(TimePoint now) {
   const Document& document = m_replica->document();
-  if (!(m_routes.version < document.version)) return;
-  const auto routes = m_hooks.read_routes(document);
-  m_routes.version = document.version;
+  if (!(m_read_version < document.version)) return;
+  auto routes = m_hooks.read_routes(document);
+  m_read_version = document.version;
   if (!routes) {
     m_hooks.on_error(routes.error());
     return;
   }
-  m_routes.bytes = std::make_shared<const Bytes>(EncodeRouteTable(*routes));
   m_directory.SetPools(routes->PoolNames(), now);
   m_hooks.on_routes(*routes);
+  m_routes.Add(std::move(*routes));
   m_hooks.send(m_publisher.OnTick(now));
 }
 
--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "route_history.h"
 #include "sardinelead/feed_follower.h"
 #include "sardinelead/feed_publisher.h"
 #include "sardinelead/journal.h"
@@ -104,7 +105,8 @@
   TargetDirectory m_directory;
   std::unique_ptr<Journal> m_journal;
   std::unique_ptr<Replica> m_replica;
-  EncodedRoutes m_routes;
+  RouteHistory m_routes;
+  ConfigVersion m_read_version;  // Of the last document that was read.
   FeedPublisher m_publisher;
   FeedFollower m_follower;
   std::uint64_t m_saved_revision = 0;
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -67,31 +67,41 @@
       m_hooks(std::move(hooks)),
       m_placement(m_settings.placement) {}
 
-void CookieBalancer::SetRoutes(RouteTablePtr routes) {
-  const bool is_newer = !m_routes || m_routes->version < routes->version;
-  if (!is_newer) return;
-  if (m_routes) {
-    for (const Route& route : m_routes->routes) {
-      const bool is_kept = routes->Find(route.address) != nullptr ||
-                           m_removed_routes.size() >= kMaxRemovedRoutes;
-      if (!is_kept) m_removed_routes.insert(route.address);
-    }
+void CookieBalancer::SetRoutes(RouteTable routes) {
+  if (!(m_routes.version < routes.version)) return;
+  for (const Route& route : m_routes.routes) {
+    if (routes.Find(route.address) == nullptr) AddRemovedRoute(route.address);
   }
-  for (const Route& route : routes->routes) {
+  m_routes = std::move(routes);
+  for (const Route& route : m_routes.routes) {
     m_removed_routes.erase(route.address);
   }
-  m_routes = std::move(routes);
+}
+
+Result<void> CookieBalancer::ApplyRouteChange(const RouteChange& change) {
+  auto applied = m_routes.Apply(change);
+  if (!applied) return applied;
+  for (const Endpoint& address : change.removed) AddRemovedRoute(address);
+  for (const Route& route : change.changed) {
+    m_removed_routes.erase(route.address);
+  }
+  return {};
+}
+
+void CookieBalancer::AddRemovedRoute(const Endpoint& address) {
+  if (m_removed_routes.size() >= kMaxRemovedRoutes) return;
+  m_removed_routes.insert(address);
 }
 
 Forwarding CookieBalancer::OnPacket(const FlowPacket& packet, ByteView datagram,
                                     TimePoint now) {
   Forwarding out;
   out.flow = packet.flow;
-  if (!m_routes) {
+  if (m_routes.version.value == 0) {
     out.action = ForwardAction::kHold;
     return out;
   }
-  if (m_routes->Find(packet.flow.service) == nullptr) {
+  if (m_routes.Find(packet.flow.service) == nullptr) {
     const bool was_removed = m_removed_routes.count(packet.flow.service) != 0;
     if (packet.opens) return MakeReset(packet, ForwardReason::kNoRoute);
     if (was_removed && !packet.resets) {
@@ -117,7 +127,7 @@
 
 Forwarding CookieBalancer::ForwardOpening(const FlowPacket& packet,
                                           ByteView datagram, TimePoint now) {
-  const Route& route = *m_routes->Find(packet.flow.service);
+  const Route& route = *m_routes.Find(packet.flow.service);
   auto found = m_flows.find(packet.flow);
   if (found != m_flows.end() && found->second.is_open) {
     RemoveFlow(packet.flow);
@@ -243,8 +253,8 @@
     }
     flow.target = target;
     flow.is_open = true;
-    flow.may_retry = m_routes->Find(packet.flow.service)->kind !=
-                     RequestKind::kNonIdempotent;
+    flow.may_retry =
+        m_routes.Find(packet.flow.service)->kind != RequestKind::kNonIdempotent;
     flow.acknowledged = packet.acknowledged;
     if (is_new) flow.data_end = packet.sequence;
     flow.tried = {};
@@ -431,7 +441,7 @@
                           found->second.target == retry.target &&
                           found->second.tried.size() == 1 &&
                           !found->second.opening_packet.empty();
-  const Route* route = m_routes ? m_routes->Find(retry.flow.service) : nullptr;
+  const Route* route = m_routes.Find(retry.flow.service);
   if (!is_waiting || route == nullptr) return;
   const Duration age = m_progress.ShortestAge(retry.sent_round);
   const Duration deadline = m_settings.placement.answer_deadline;
--- a/src/feed_follower.cc
+++ b/src/feed_follower.cc
@@ -9,7 +9,10 @@
 namespace sardinelead {
 namespace {
 
+// The wait before a second request for routes. It doubles with each request
+// that was not answered: a large table takes a while on a slow link.
 constexpr Duration kRoutesRequestInterval = std::chrono::milliseconds(150);
+constexpr std::uint32_t kMaxRequestDoublings = 3;
 // A longer gap between ticks does not count as covered time: nothing could be
 // received in it.
 constexpr Duration kMaxTickGap = std::chrono::milliseconds(250);
@@ -46,6 +49,7 @@
   poll.wants_all_targets = WantsAllTargets(to, source, now);
   poll.is_control = m_settings.is_control;
   poll.data_centre = m_settings.data_centre;
+  poll.accepts_changes = !m_needs_whole_table;
   return {to, MessageKind::kFeed, poll.Encode()};
 }
 
@@ -73,6 +77,9 @@
   if (const auto* routes = std::get_if<FeedRoutes>(&*message)) {
     OnRoutes(from, routes->table);
   }
+  if (const auto* changes = std::get_if<FeedRouteChanges>(&*message)) {
+    OnRouteChanges(from, *changes);
+  }
   return out;
 }
 
@@ -116,9 +123,7 @@
   const bool has_changes = !changed->targets.empty() || changed->unreadable > 0;
   const bool must_poll = has_changes || !is_contiguous || is_new_start;
   const bool wants_routes =
-      m_version < report.version &&
-      now - m_routes_requested_at >= kRoutesRequestInterval;
-  if (wants_routes) m_routes_requested_at = now;
+      m_version < report.version && TakeRoutesRequest(now);
   if (must_poll || wants_routes) {
     source.next_poll_at = now + m_settings.poll_interval;
     out->push_back(MakePoll(from, wants_routes, now));
@@ -162,7 +167,8 @@
   const auto found = m_sources.find(from);
   if (found == m_sources.end()) return {};
   found->second.next_poll_at = now + m_settings.poll_interval;
-  return {MakePoll(from, m_version.value == 0, now)};
+  const bool has_none = m_version.value == 0 && !m_settings.is_control;
+  return {MakePoll(from, has_none, now)};
 }
 
 void FeedFollower::OnRoutes(NodeId from, ByteView bytes) {
@@ -171,9 +177,42 @@
     m_hooks.on_error(from, table.error());
     return;
   }
+  m_unanswered_requests = 0;
   if (!(m_version < table->version)) return;
   m_version = table->version;
-  m_hooks.on_routes(std::make_shared<const RouteTable>(std::move(*table)));
+  m_needs_whole_table = false;
+  m_hooks.on_routes(std::move(*table));
+}
+
+void FeedFollower::OnRouteChanges(NodeId from,
+                                  const FeedRouteChanges& message) {
+  m_unanswered_requests = 0;
+  for (const auto& encoded : message.changes) {
+    const auto applied = ApplyRouteChange(*encoded);
+    if (applied) continue;
+    m_needs_whole_table = true;
+    m_hooks.on_error(from, applied.error());
+    return;
+  }
+}
+
+Result<void> FeedFollower::ApplyRouteChange(ByteView bytes) {
+  const auto change = DecodeRouteChange(bytes);
+  if (!change) return tl::unexpected<Error>(change.error());
+  // An answer to an earlier request may arrive late.
+  if (!(m_version < change->version)) return {};
+  auto applied = m_hooks.on_route_change(*change);
+  if (applied) m_version = change->version;
+  return applied;
+}
+
+bool FeedFollower::TakeRoutesRequest(TimePoint now) {
+  // Control VMs get their routes by replication.
+  if (m_settings.is_control || now < m_next_routes_request_at) return false;
+  const std::uint32_t doublings =
+      std::min(m_unanswered_requests++, kMaxRequestDoublings);
+  m_next_routes_request_at = now + kRoutesRequestInterval * (1U << doublings);
+  return true;
 }
 
 Outbox FeedFollower::OnTick(TimePoint now) {
@@ -188,9 +227,7 @@
   RemoveStaleSources(now);
   Outbox out;
   const NodeId best = BestRoutesSource(now);
-  const bool requests_routes =
-      best.value != 0 && now - m_routes_requested_at >= kRoutesRequestInterval;
-  if (requests_routes) m_routes_requested_at = now;
+  const bool requests_routes = best.value != 0 && TakeRoutesRequest(now);
   for (auto& [id, source] : m_sources) {
     const bool wants_routes = requests_routes && id == best;
     if (now < source.next_poll_at && !wants_routes) continue;
@@ -200,7 +237,8 @@
                                   ? m_settings.poll_interval
                                   : m_settings.retransmit_interval;
     source.next_poll_at = now + interval;
-    out.push_back(MakePoll(id, wants_routes || m_version.value == 0, now));
+    const bool has_none = m_version.value == 0 && !m_settings.is_control;
+    out.push_back(MakePoll(id, wants_routes || has_none, now));
   }
   return out;
 }
--- a/src/feed_message.cc
+++ b/src/feed_message.cc
@@ -110,10 +110,22 @@
   poll.wants_all_targets = reader->Number() != 0;
   poll.is_control = reader->Number() != 0;
   poll.data_centre = reader->Text();
+  if (!reader->AtEnd()) poll.accepts_changes = reader->Number() != 0;
   if (!reader->ok()) return MalformedError("a poll");
   return poll;
 }
 
+Result<FeedMessage> DecodeRouteChanges(CborArrayReader* reader) {
+  FeedRouteChanges message;
+  for (const json& change : reader->Array()) {
+    if (!change.is_binary()) return MalformedError("a change of routes");
+    message.changes.push_back(
+        std::make_shared<const Bytes>(change.get_binary()));
+  }
+  if (!reader->ok()) return MalformedError("changes of routes");
+  return message;
+}
+
 Result<FeedMessage> DecodeReport(CborArrayReader* reader) {
   FeedReport report;
   report.epoch = reader->Number();
@@ -168,10 +180,10 @@
 }
 
 Bytes FeedPoll::Encode() const {
-  return ToCbor(
-      json::array({TypeNumber(FeedType::kPoll), epoch, revision, version.value,
-                   ToNumber(wants_routes), ToNumber(wants_all_targets),
-                   ToNumber(is_control), data_centre}));
+  return ToCbor(json::array({TypeNumber(FeedType::kPoll), epoch, revision,
+                             version.value, ToNumber(wants_routes),
+                             ToNumber(wants_all_targets), ToNumber(is_control),
+                             data_centre, ToNumber(accepts_changes)}));
 }
 
 Bytes FeedReport::Encode() const {
@@ -187,6 +199,13 @@
   return ToCbor(json::array({TypeNumber(FeedType::kRoutes), Binary(table)}));
 }
 
+Bytes FeedRouteChanges::Encode() const {
+  json list = json::array();
+  for (const auto& change : changes) list.push_back(Binary(*change));
+  return ToCbor(
+      json::array({TypeNumber(FeedType::kRouteChanges), std::move(list)}));
+}
+
 Result<FeedMessage> DecodeFeedMessage(ByteView body) {
   const json root = FromCbor(body);
   CborArrayReader reader(root);
@@ -200,6 +219,8 @@
       if (!reader.ok()) return MalformedError("routes");
       return routes;
     }
+    case FeedType::kRouteChanges:
+      return DecodeRouteChanges(&reader);
   }
   return MalformedError("a message");
 }
--- a/src/feed_message.h
+++ b/src/feed_message.h
@@ -16,7 +16,12 @@
 
 namespace sardinelead {
 
-enum class FeedType : std::uint8_t { kPoll = 1, kReport = 2, kRoutes = 3 };
+enum class FeedType : std::uint8_t {
+  kPoll = 1,
+  kReport = 2,
+  kRoutes = 3,
+  kRouteChanges = 4,
+};
 
 // Sent by a subscriber to state what it has.
 struct FeedPoll {
@@ -29,6 +34,9 @@
   bool wants_all_targets = false;
   bool is_control = false;  // The subscriber is a control VM.
   std::string data_centre;
+  // The subscriber reads FeedRouteChanges; earlier versions do not send this
+  // field.
+  bool accepts_changes = false;
 
   Bytes Encode() const;
 };
@@ -95,7 +103,15 @@
   Bytes Encode() const;
 };
 
-using FeedMessage = std::variant<FeedPoll, FeedReport, FeedRoutes>;
+// Each element is the output of EncodeRouteChange(), based on the one before.
+struct FeedRouteChanges {
+  std::vector<std::shared_ptr<const Bytes>> changes;
+
+  Bytes Encode() const;
+};
+
+using FeedMessage =
+    std::variant<FeedPoll, FeedReport, FeedRoutes, FeedRouteChanges>;
 Result<FeedMessage> DecodeFeedMessage(ByteView body);
 
 }  // namespace sardinelead
--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -54,14 +54,9 @@
   subscriber.polled_at = now;
   subscriber.acknowledged = poll->epoch == m_epoch ? poll->revision : 0;
   Outbox out;
-  if (poll->wants_routes) {
-    const EncodedRoutes routes = m_hooks.routes();
-    const bool is_newer = poll->version < routes.version;
-    if (is_newer) {
-      const FeedRoutes reply{*routes.bytes};
-      out.push_back({from, MessageKind::kFeed, reply.Encode()});
-    }
-  }
+  const bool needs_routes =
+      poll->wants_routes && poll->version < m_hooks.routes_version();
+  if (needs_routes) out.push_back(MakeRoutes(from, *poll));
   subscriber.awaits_batch =
       has_advanced && subscriber.acknowledged < LatestRevisionFor(subscriber);
   if (is_known && !is_next_part_due) return out;
@@ -69,6 +64,17 @@
   return out;
 }
 
+OutgoingMessage FeedPublisher::MakeRoutes(NodeId id,
+                                          const FeedPoll& poll) const {
+  const ConfigVersion held =
+      poll.accepts_changes ? poll.version : ConfigVersion{0};
+  const RouteUpdate update = m_hooks.routes_since(held);
+  const Bytes body = update.changes.empty()
+                         ? FeedRoutes{*update.table}.Encode()
+                         : FeedRouteChanges{update.changes}.Encode();
+  return {id, MessageKind::kFeed, body};
+}
+
 void FeedPublisher::OnTargetAnnounced(std::uint64_t target, bool is_changed,
                                       TimePoint now) {
   SyncWithDirectory();
@@ -190,7 +196,7 @@
   RefreshMembers(now);
   m_encoded_changes.clear();
   Outbox out;
-  const ConfigVersion version = m_hooks.routes().version;
+  const ConfigVersion version = m_hooks.routes_version();
   // Sending the same changes to all subscribers in one batch lets them share
   // the encoding.
   const bool is_batch_due = now - m_batch_at >= BatchInterval();
@@ -225,7 +231,7 @@
   FeedReport report;
   report.epoch = m_epoch;
   report.base = subscriber->acknowledged;
-  report.version = m_hooks.routes().version;
+  report.version = m_hooks.routes_version();
   report.data_centre = m_settings.data_centre;
   // A node that was only invited gets no changes: it answers with a poll that
   // states what it needs.
--- a/src/route_table.cc
+++ b/src/route_table.cc
@@ -7,6 +7,7 @@
 
 #include "cbor.h"
 #include "compress.h"
+#include "route_encoding.h"
 #include "route_table_reader.h"
 
 namespace sardinelead {
@@ -14,8 +15,6 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kMaxTableBytes = 4 << 20;
-
 std::string FieldPath(const char* list, std::size_t index, const char* field) {
   return std::string(list) + "[" + std::to_string(index) + "]." + field;
 }
@@ -42,16 +41,6 @@
               FieldPath("routes", index, "pools"));
 }
 
-json ToJson(const Route& route) {
-  json pools = json::array();
-  for (const PoolShare& share : route.pools) {
-    pools.push_back(json::array({share.pool, share.weight}));
-  }
-  return json::array({route.name, route.address.ToString(),
-                      static_cast<std::uint64_t>(route.kind), route.timeout_ms,
-                      route.objective_ms, route.priority, std::move(pools)});
-}
-
 }  // namespace
 
 const char* Name(RequestKind kind) {
@@ -66,6 +55,17 @@
   return "unknown";
 }
 
+bool operator==(const Route& a, const Route& b) {
+  return a.name == b.name && a.address == b.address && a.kind == b.kind &&
+         a.timeout_ms == b.timeout_ms && a.objective_ms == b.objective_ms &&
+         a.priority == b.priority && a.pools == b.pools;
+}
+
+bool operator==(const Pool& a, const Pool& b) {
+  return a.name == b.name && a.health_path == b.health_path &&
+         a.max_flows == b.max_flows;
+}
+
 const std::string& Route::SelectPool(std::uint64_t flow_hash) const {
   if (pools.size() == 1) return pools.front().pool;
   const std::uint64_t total = std::accumulate(
@@ -87,6 +87,50 @@
   }
 }
 
+Result<void> RouteTable::Apply(const RouteChange& change) {
+  const bool is_next = change.base == version && version < change.version;
+  if (!is_next) {
+    return Fail(ErrorCode::kVersionConflict,
+                "the change is based on version " +
+                    std::to_string(change.base.value) + ", not on " +
+                    std::to_string(version.value));
+  }
+  const std::vector<Pool>& next_pools = change.pools ? *change.pools : pools;
+  std::set<std::string> names;
+  for (const Pool& pool : next_pools) names.insert(pool.name);
+  for (std::size_t i = 0; i < change.changed.size(); ++i) {
+    auto checked = CheckRoute(change.changed[i], i, names);
+    if (!checked) return checked;
+  }
+  for (const Endpoint& address : change.removed) Remove(address);
+  for (const Route& route : change.changed) {
+    const auto [found, is_new] =
+        m_by_address.try_emplace(route.address, routes.size());
+    if (is_new) {
+      routes.push_back(route);
+    } else {
+      routes[found->second] = route;
+    }
+  }
+  if (change.pools) pools = *change.pools;
+  idle_timeout = change.idle_timeout;
+  version = change.version;
+  return {};
+}
+
+// The last route takes the place of the removed one.
+void RouteTable::Remove(const Endpoint& address) {
+  const auto found = m_by_address.find(address);
+  if (found == m_by_address.end()) return;
+  const std::size_t place = found->second;
+  m_by_address.erase(found);
+  if (place + 1 != routes.size()) {
+    routes[place] = std::move(routes.back());
+    m_by_address[routes[place].address] = place;
+  }
+  routes.pop_back();
+}
+
 const Route* RouteTable::Find(const Endpoint& address) const {
   const auto found = m_by_address.find(address);
   return found == m_by_address.end() ? nullptr : &routes[found->second];
@@ -122,18 +166,9 @@
 }
 
 Bytes EncodeRouteTable(const RouteTable& table) {
-  json routes = json::array();
-  for (const Route& route : table.routes) routes.push_back(ToJson(route));
-  json pools = json::array();
-  for (const Pool& pool : table.pools) {
-    pools.push_back(json::array({pool.name, pool.health_path, pool.max_flows}));
-  }
-  const std::int64_t idle_ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(table.idle_timeout)
-          .count();
-  return Compress(ToCbor(
-      json::array({table.version.value, std::move(routes), std::move(pools),
-                   static_cast<std::uint64_t>(idle_ms)})));
+  return Compress(ToCbor(json::array(
+      {table.version.value, RoutesToJson(table.routes),
+       PoolsToJson(table.pools), DurationToJson(table.idle_timeout)})));
 }
 
 Result<RouteTable> DecodeRouteTable(ByteView bytes) {
--- a/tests/balancer_stall_test.cc
+++ b/tests/balancer_stall_test.cc
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "quick.h"
@@ -56,16 +57,16 @@
  public:
   StallWorld(const World& world, const Stall& stall)
       : m_world(world), m_stall(stall), m_balancer(MakeBalancer()) {
-    auto table = std::make_shared<RouteTable>();
-    table->version = ConfigVersion{1};
-    table->pools = {{"orders", "/health", 0}};
+    RouteTable table;
+    table.version = ConfigVersion{1};
+    table.pools = {{"orders", "/health", 0}};
     Route route;
     route.address = kService;
     route.pools = {{"orders", 1}};
-    table->routes.push_back(route);
-    table->BuildIndex();
-    m_directory.SetPools(table->PoolNames(), m_now);
-    m_balancer.SetRoutes(table);
+    table.routes.push_back(route);
+    table.BuildIndex();
+    m_directory.SetPools(table.PoolNames(), m_now);
+    m_balancer.SetRoutes(std::move(table));
     TargetAnnouncement announcement;
     announcement.number = kTarget;
     announcement.pool = "orders";
--- a/tests/cookie_balancer_test.cc
+++ b/tests/cookie_balancer_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(EntryOfAnUnknownPoolResetsNoFlow);
   CPPUNIT_TEST(NewFlowsWithoutARouteAreRefusedAtOnce);
   CPPUNIT_TEST(RemovedRouteEndsItsFlowsUnknownOneDoesNot);
+  CPPUNIT_TEST(ChangeOfRoutesActsAsTheWholeTable);
   CPPUNIT_TEST(OlderRoutesAreIgnored);
   CPPUNIT_TEST(GatheringBalancerHoldsPackets);
   CPPUNIT_TEST(ReportsFlowTimings);
@@ -416,6 +417,28 @@
                    ForwardAction::kForward);
   }
 
+  void ChangeOfRoutesActsAsTheWholeTable() {
+    RouteChange change;
+    change.base = ConfigVersion{1};
+    change.version = ConfigVersion{2};
+    change.removed = {kNotes};
+    Route added = m_routes.routes[0];
+    added.address.port = 9;
+    change.changed = {added};
+    CPPUNIT_ASSERT(m_balancer.ApplyRouteChange(change).has_value());
+    const FlowPacket removed = Data(1, CookieOf(1), 1, kNotes);
+    CPPUNIT_ASSERT(m_balancer.OnPacket(removed, {}, m_now).reason ==
+                   ForwardReason::kRouteRemoved);
+    CPPUNIT_ASSERT(
+        m_balancer.OnPacket(Opening(2, added.address), kSyn, m_now).action ==
+        ForwardAction::kForward);
+    CPPUNIT_ASSERT(m_balancer.OnPacket(Opening(3), kSyn, m_now).action ==
+                   ForwardAction::kForward);
+    // The same change does not fit a second time.
+    CPPUNIT_ASSERT(!m_balancer.ApplyRouteChange(change).has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_balancer.routes().version.value);
+  }
+
   void OlderRoutesAreIgnored() {
     SetRoutes(5, {kService, kNotes});
     SetRoutes(4, {kService});
@@ -520,20 +543,20 @@
 
   void SetRoutes(std::uint64_t version,
                  const std::vector<Endpoint>& addresses) {
-    auto table = std::make_shared<RouteTable>();
-    table->version = ConfigVersion{version};
-    table->pools = {{"orders", "/health", 0}, {"gallery", "/health", 0}};
+    RouteTable table;
+    table.version = ConfigVersion{version};
+    table.pools = {{"orders", "/health", 0}, {"gallery", "/health", 0}};
     for (const Endpoint& address : addresses) {
       Route route;
       route.address = address;
       route.kind = address == kNotes ? RequestKind::kNonIdempotent
                                      : RequestKind::kIdempotent;
       route.pools = {{"orders", 1}};
-      table->routes.push_back(route);
+      table.routes.push_back(route);
     }
-    table->BuildIndex();
+    table.BuildIndex();
     m_routes = table;
-    m_directory.SetPools(table->PoolNames(), m_now);
+    m_directory.SetPools(table.PoolNames(), m_now);
     m_balancer.SetRoutes(m_routes);
   }
 
@@ -633,7 +656,7 @@
   std::uint16_t m_next_port = 1000;
   std::vector<FlowTiming> m_timings;
   TargetDirectory m_directory;
-  RouteTablePtr m_routes;
+  RouteTable m_routes;  // As last passed to m_balancer.
   CookieBalancer m_balancer = MakeBalancer();
 };
 
--- a/tests/feed_load_test.cc
+++ b/tests/feed_load_test.cc
@@ -54,9 +54,8 @@
     m_publisher = std::make_unique<FeedPublisher>(
         m_settings, 7, &m_directory,
         FeedPublisher::Hooks{[] { return std::vector<NodeId>{kControl}; },
-                             [this] {
-                               return EncodedRoutes{ConfigVersion{0}, m_routes};
-                             }});
+                             [] { return ConfigVersion{0}; },
+                             [](ConfigVersion) { return RouteUpdate{}; }});
     for (std::size_t i = 0; i < kFollowers; ++i) AddFollower();
     Run(2 * kSecond);
   }
@@ -134,7 +133,8 @@
     FeedSettings settings;
     settings.self = id;
     FeedFollower::Hooks hooks;
-    hooks.on_routes = [](const RouteTablePtr&) {};
+    hooks.on_routes = [](const RouteTable&) {};
+    hooks.on_route_change = [](const RouteChange&) { return Result<void>{}; };
     hooks.on_source_change = [](NodeId, bool) {};
     hooks.on_error = [](NodeId, const Error& error) {
       CPPUNIT_FAIL(error.ToString());
@@ -225,7 +225,6 @@
   FeedSettings m_settings;
   TimePoint m_now;
   TimePoint m_next_tick;
-  std::shared_ptr<const Bytes> m_routes = std::make_shared<const Bytes>();
   TargetDirectory m_directory;
   std::unique_ptr<FeedPublisher> m_publisher;
   std::map<NodeId, Follower> m_followers;
--- a/tests/target_feed_test.cc
+++ b/tests/target_feed_test.cc
@@ -10,6 +10,7 @@
 #include <set>
 
 #include "feed_message.h"
+#include "route_history.h"
 #include "sardinelead/feed_follower.h"
 #include "sardinelead/feed_publisher.h"
 
@@ -22,7 +23,7 @@
 
 struct ControlVm {
   TargetDirectory directory;
-  EncodedRoutes routes{{}, std::make_shared<const Bytes>()};
+  RouteHistory routes;
   std::unique_ptr<FeedPublisher> publisher;
 };
 
@@ -31,6 +32,8 @@
   CPPUNIT_TEST(ChangesArriveDespiteLosses);
   CPPUNIT_TEST(RoutesArriveAndNeverGoBack);
   CPPUNIT_TEST(FollowsARestartedControlVm);
+  CPPUNIT_TEST(ChangesOfRoutesReplaceNoTable);
+  CPPUNIT_TEST(ChangeThatCannotBeAppliedIsFollowedByTheTable);
   CPPUNIT_TEST(NewSubscriberGetsAllTargetsFromOneControlVm);
   CPPUNIT_TEST(TargetsOfOtherControlVmsAreNotRenewed);
   CPPUNIT_TEST(AStormOfVersionsDoesNotHideLivingTargets);
@@ -60,9 +63,18 @@
     settings.self = kBalancer;
     settings.data_centre = "a";
     FeedFollower::Hooks hooks;
-    hooks.on_routes = [this](const RouteTablePtr& routes) {
-      CPPUNIT_ASSERT(m_version < routes->version);
-      m_version = routes->version;
+    hooks.on_routes = [this](RouteTable routes) {
+      CPPUNIT_ASSERT(m_version < routes.version);
+      m_version = routes.version;
+      m_routes = std::move(routes);
+      ++m_whole_tables;
+    };
+    hooks.on_route_change = [this](const RouteChange& change) -> Result<void> {
+      if (m_refuses_changes) return Fail(ErrorCode::kVersionConflict, "test");
+      CPPUNIT_ASSERT(m_version < change.version);
+      auto applied = m_routes.Apply(change);
+      if (applied) m_version = change.version;
+      return applied;
     };
     hooks.on_source_change = [](NodeId, bool) {};
     hooks.on_error = [this](NodeId, const Error&) { ++m_errors; };
@@ -92,6 +104,41 @@
     }
   }
 
+  // Guards against stalls of a balancer that reads a large table with each
+  // change (review, case 3).
+  void ChangesOfRoutesReplaceNoTable() {
+    SetRoutes(1);
+    Run(kSecond);
+    m_loss = 30;
+    for (std::uint64_t version = 2; version < 40; ++version) {
+      SetRoutes(version);
+      Run(milliseconds(90));
+    }
+    Run(3 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{39}, m_version.value);
+    CPPUNIT_ASSERT_EQUAL(1, m_whole_tables);
+    const RouteTable expected = MakeRoutes(39);
+    CPPUNIT_ASSERT_EQUAL(expected.routes.size(), m_routes.routes.size());
+    for (const Route& route : expected.routes) {
+      CPPUNIT_ASSERT(m_routes.Find(route.address) != nullptr);
+    }
+  }
+
+  void ChangeThatCannotBeAppliedIsFollowedByTheTable() {
+    SetRoutes(1);
+    Run(kSecond);
+    m_refuses_changes = true;
+    SetRoutes(2);
+    Run(kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_version.value);
+    CPPUNIT_ASSERT_EQUAL(2, m_whole_tables);
+    m_refuses_changes = false;
+    SetRoutes(3);
+    Run(kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, m_version.value);
+    CPPUNIT_ASSERT_EQUAL(2, m_whole_tables);
+  }
+
   void RoutesArriveAndNeverGoBack() {
     SetRoutes(3);
     Run(kSecond);
@@ -105,7 +152,7 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{29}, m_version.value);
     // A control VM that restarts with older routes must not revert them.
     StartControlVm(NodeId{1});
-    m_controls[1].routes = Encode(7);
+    m_controls[1].routes.Add(MakeRoutes(7));
     Run(2 * kSecond);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{29}, m_version.value);
   }
@@ -370,7 +417,7 @@
     Run(kSecond);
     CPPUNIT_ASSERT(m_follower->IsReady(m_now));
     setUp();
-    m_controls[1].routes = Encode(1);
+    m_controls[1].routes.Add(MakeRoutes(1));
     m_version = ConfigVersion{};
     m_down = {NodeId{2}, NodeId{3}};
     Run(kSecond);
@@ -470,17 +517,31 @@
     control.publisher = std::make_unique<FeedPublisher>(
         settings, m_random(), &control.directory,
         FeedPublisher::Hooks{[this] { return m_members; },
-                             [&control] { return control.routes; }});
+                             [&control] { return control.routes.version(); },
+                             [&control](ConfigVersion held) {
+                               return control.routes.UpdateFrom(held);
+                             }});
   }
 
-  static EncodedRoutes Encode(std::uint64_t version) {
+  // Each version has one route of its own, besides a common one.
+  static RouteTable MakeRoutes(std::uint64_t version) {
     RouteTable table;
     table.version = ConfigVersion{version};
-    return {table.version,
-            std::make_shared<const Bytes>(EncodeRouteTable(table))};
+    table.pools = {{"orders", "/health", 0}};
+    for (const std::uint64_t port : {std::uint64_t{9}, 1000 + version}) {
+      Route route;
+      route.address = {IpAddress::FromV4(0xc6120001),
+                       static_cast<std::uint16_t>(port)};
+      route.pools = {{"orders", 1}};
+      table.routes.push_back(route);
+    }
+    table.BuildIndex();
+    return table;
   }
   void SetRoutes(std::uint64_t version) {
-    for (auto& [id, control] : m_controls) control.routes = Encode(version);
+    for (auto& [id, control] : m_controls) {
+      control.routes.Add(MakeRoutes(version));
+    }
   }
 
   static TargetAnnouncement MakeNews(std::uint64_t number,
@@ -571,6 +632,9 @@
   std::multimap<TimePoint, InFlight> m_in_flight;
   TargetDirectory m_directory;
   ConfigVersion m_version;
+  RouteTable m_routes;  // In use by the balancer.
+  int m_whole_tables = 0;
+  bool m_refuses_changes = false;
   std::size_t m_reports = 0;  // Sent by control VMs to the balancer.
   std::size_t m_report_bytes = 0;
   std::size_t m_largest_report = 0;
