Copies of an opening packet that waited here go to one target

Cause: an opening packet and its copies that waited in the socket of a stalled balancer were placed at one target each. Two targets then answered, and the caller returned the cookie of the later answer until the next packet of the first; another balancer would have sent the flow to the wrong target, which resets it. Change: a copy goes to another target only if the one before had time to answer, measured as for requests. Measured: CookieBalancerTest.OpeningCopiesThatWaitedHereGoToOneTarget; by reading, the code before placed each copy at another target.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -220,8 +220,9 @@
     std::uint32_t data_end = 0;  // Sequence number after the last data byte.
     bool is_retransmitting = false;  // The caller resends its request.
     bool may_retry = false;          // The route's requests may run twice.
-    // The round in which the last copy of the request was forwarded that counts
-    // as evidence, and how many retransmissions counted.
+    // The round in which the opening packet was last placed or, later, in which
+    // the last copy of the request was forwarded that counts as evidence, and
+    // how many retransmissions of it counted.
     std::uint64_t sent_round = 0;
     std::uint32_t retransmissions = 0;
     TimePoint opened_at;   // Arrival of the first opening packet.
@@ -237,7 +238,6 @@
     TimePoint at;
     FlowKey flow;
     std::uint64_t target = 0;
-    std::uint64_t sent_round = 0;  // When the opening packet was forwarded.
   };
   // A lost target whose flows are reset at the end of the round, unless an
   // answer was among the packets still unread.
@@ -250,6 +250,9 @@
                             TimePoint now);
   Forwarding ForwardEstablished(const FlowPacket& packet, TimePoint now);
   const TargetDirectory::Entry* FindTarget(const FlowPacket& packet) const;
+  bool HadTimeToAnswer(const Flow& flow) const;
+  Forwarding ForwardTo(const TargetDirectory::Entry& entry, const FlowKey& key,
+                       ForwardReason reason) const;
   Forwarding PlaceFlow(const FlowKey& key, const Route& route, Flow* flow,
                        ForwardReason reason, TimePoint now);
   Forwarding MakeReset(const FlowPacket& packet, ForwardReason reason) const;
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -141,6 +141,13 @@
   Flow& flow = found->second;
   flow.seen_at = now;
   flow.data_end = packet.sequence;
+  const TargetDirectory::Entry* placed =
+      flow.tried.empty() ? nullptr : m_directory->Find(flow.target);
+  if (placed != nullptr && !HadTimeToAnswer(flow)) {
+    // This copy waited here behind the one before. Another target would answer
+    // it as well, and its cookie would replace that of the first.
+    return ForwardTo(*placed, packet.flow, ForwardReason::kPlaced);
+  }
   flow.opening_packet.assign(datagram.begin(), datagram.end());
   const ForwardReason reason =
       flow.tried.empty() ? ForwardReason::kPlaced : ForwardReason::kPlacedAgain;
@@ -175,15 +182,31 @@
   if (entry == nullptr) return out;
   if (flow->target != 0) m_placement.OnOpeningCanceled(flow->target);
   flow->target = *chosen;
+  flow->sent_round = m_progress.round();
   flow->tried.push_back(*chosen);
   m_placement.OnOpening(*chosen, now);
-  AddRetry({now + m_settings.placement.answer_deadline, key, *chosen,
-            m_progress.round()});
+  AddRetry({now + m_settings.placement.answer_deadline, key, *chosen});
+  return ForwardTo(*entry, key, reason);
+}
+
+// Whether the target of an opening flow had time to answer the opening packet.
+// If that was dropped here, it needs no more time.
+bool CookieBalancer::HadTimeToAnswer(const Flow& flow) const {
+  return !m_progress.IsReliable(flow.sent_round) ||
+         m_progress.ShortestAge(flow.sent_round) >=
+             m_settings.placement.answer_deadline;
+}
+
+Forwarding CookieBalancer::ForwardTo(const TargetDirectory::Entry& entry,
+                                     const FlowKey& key,
+                                     ForwardReason reason) const {
+  Forwarding out;
+  out.flow = key;
   out.action = ForwardAction::kForward;
   out.reason = reason;
-  out.target = *chosen;
-  out.address = entry->announcement.address;
-  out.cookie = CookieOf(*chosen);
+  out.target = entry.announcement.number;
+  out.address = entry.announcement.address;
+  out.cookie = CookieOf(out.target);
   return out;
 }
 
@@ -215,12 +238,7 @@
     RemoveFlow(packet.flow);
     return MakeReset(packet, ForwardReason::kTargetLost);
   }
-  out.action = ForwardAction::kForward;
-  out.reason = ForwardReason::kByCookie;
-  out.target = announcement.number;
-  out.address = announcement.address;
-  out.cookie = CookieOf(announcement.number);
-  return out;
+  return ForwardTo(*entry, packet.flow, ForwardReason::kByCookie);
 }
 
 // Returns the target for the packet's cookie. A flow that is known to be open
@@ -443,16 +461,15 @@
                           !found->second.opening_packet.empty();
   const Route* route = m_routes.Find(retry.flow.service);
   if (!is_waiting || route == nullptr) return;
-  const Duration age = m_progress.ShortestAge(retry.sent_round);
-  const Duration deadline = m_settings.placement.answer_deadline;
-  if (age < deadline && m_progress.IsReliable(retry.sent_round)) {
+  Flow& flow = found->second;
+  if (!HadTimeToAnswer(flow)) {
     // This process was late. The answer may still arrive in time.
     Retry again = retry;
-    again.at = now + (deadline - age);
+    again.at = now + m_settings.placement.answer_deadline -
+               m_progress.ShortestAge(flow.sent_round);
     AddRetry(again);
     return;
   }
-  Flow& flow = found->second;
   Forwarding again =
       PlaceFlow(retry.flow, *route, &flow, ForwardReason::kPlacedAgain, now);
   if (again.action != ForwardAction::kForward) return;
--- a/tests/cookie_balancer_test.cc
+++ b/tests/cookie_balancer_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(UnansweredOpeningPacketGoesToAnotherTarget);
   CPPUNIT_TEST(LateAnswerOfASecondTargetDoesNotMoveTheFlow);
   CPPUNIT_TEST(RetransmittedOpeningPacketGoesToAnotherTarget);
+  CPPUNIT_TEST(OpeningCopiesThatWaitedHereGoToOneTarget);
   CPPUNIT_TEST(FlowsOfALostTargetAreReset);
   CPPUNIT_TEST(ReportsLeaseExpiryAndRenewal);
   CPPUNIT_TEST(NonIdempotentRequestsUnderWayAreNotReset);
@@ -140,12 +141,31 @@
 
   void RetransmittedOpeningPacketGoesToAnotherTarget() {
     const Forwarding first = m_balancer.OnPacket(Opening(1), kSyn, m_now);
-    m_now += milliseconds(200);
+    ReadFor(milliseconds(200));
     const Forwarding copy = m_balancer.OnPacket(Opening(1), kSyn, m_now);
     CPPUNIT_ASSERT(copy.reason == ForwardReason::kPlacedAgain);
     CPPUNIT_ASSERT(copy.target != first.target);
   }
 
+  // Guards against flows that two targets answer because the copies of their
+  // opening packet waited in the socket while this process stalled.
+  void OpeningCopiesThatWaitedHereGoToOneTarget() {
+    Drain();
+    m_now += kSecond;
+    const Forwarding first = m_balancer.OnPacket(Opening(1), kSyn, m_now);
+    for (int i = 0; i < 2; ++i) {
+      const Forwarding copy = m_balancer.OnPacket(Opening(1), kSyn, m_now);
+      CPPUNIT_ASSERT(copy.action == ForwardAction::kForward);
+      CPPUNIT_ASSERT_EQUAL(first.target, copy.target);
+      CPPUNIT_ASSERT_EQUAL(first.cookie, copy.cookie);
+    }
+    CPPUNIT_ASSERT_EQUAL(1U,
+                         m_balancer.placement().Find(first.target)->opening);
+    Drain();
+    CPPUNIT_ASSERT_EQUAL(first.target,
+                         m_balancer.OnPacket(Opening(1), kSyn, m_now).target);
+  }
+
   void FlowsOfALostTargetAreReset() {
     const std::uint32_t cookie = CookieOf(1);
     for (std::uint16_t port = 1; port <= 4; ++port) OpenAt(port, kService, 1);
