--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -8,8 +8,9 @@
 
 #include "bench.h"
 
-DEFINE_string(area, "all",
-              "area to run: path, flows, config, balance, capacity or all");
+DEFINE_string(
+    area, "all",
+    "area to run: path, flows, config, routes, balance, capacity or all");
 DEFINE_string(seeds, "1,2,3", "seeds, separated by commas");
 
 namespace sardinelead::bench {
