The balancer's judgement of targets has files of its own

Change: what decides that a target is lost moves to cookie_balancer_loss.cc, its tests to cookie_balancer_loss_test.cc, the common fixture to a header; no line of code changed.

--- /dev/null
+++ b/tests/cookie_balancer_loss_test.cc
@@ -0,0 +1,238 @@
+// When a balancer takes a target for lost, and what must not mislead it.
+
+#include "cookie_balancer_fixture.h"
+
+namespace sardinelead {
+namespace {
+
+class CookieBalancerLossTest : public CookieBalancerFixture {
+  CPPUNIT_TEST_SUITE(CookieBalancerLossTest);
+  CPPUNIT_TEST(OpeningCopiesThatWaitedHereGoToOneTarget);
+  CPPUNIT_TEST(FlowsOfALostTargetAreReset);
+  CPPUNIT_TEST(ReportsLeaseExpiryAndRenewal);
+  CPPUNIT_TEST(NonIdempotentRequestsUnderWayAreNotReset);
+  CPPUNIT_TEST(StalledBalancerDoesNotMarkTargetsLost);
+  CPPUNIT_TEST(TwoLostRequestsResetNoFlow);
+  CPPUNIT_TEST(UnreadAnswerKeepsTheFlowsOfALostTarget);
+  CPPUNIT_TEST(SilenceAloneResetsNoFlow);
+  CPPUNIT_TEST(PacketsDroppedHereAreNoEvidence);
+  CPPUNIT_TEST(HeldCopiesAreNoEvidence);
+  CPPUNIT_TEST(LateBalancerDoesNotResendAnAnsweredOpeningPacket);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against flows that two targets answer because the copies of their
+  // opening packet waited in the socket while this process stalled.
+  void OpeningCopiesThatWaitedHereGoToOneTarget() {
+    Drain();
+    m_now += kSecond;
+    const Forwarding first = m_balancer.OnPacket(Opening(1), kSyn, m_now);
+    for (int i = 0; i < 2; ++i) {
+      const Forwarding copy = m_balancer.OnPacket(Opening(1), kSyn, m_now);
+      CPPUNIT_ASSERT(copy.action == ForwardAction::kForward);
+      CPPUNIT_ASSERT_EQUAL(first.target, copy.target);
+      CPPUNIT_ASSERT_EQUAL(first.cookie, copy.cookie);
+    }
+    CPPUNIT_ASSERT_EQUAL(1U,
+                         m_balancer.placement().Find(first.target)->opening);
+    Drain();
+    CPPUNIT_ASSERT_EQUAL(first.target,
+                         m_balancer.OnPacket(Opening(1), kSyn, m_now).target);
+  }
+
+  void FlowsOfALostTargetAreReset() {
+    const std::uint32_t cookie = CookieOf(1);
+    for (std::uint16_t port = 1; port <= 4; ++port) OpenAt(port, kService, 1);
+    Request(1, cookie);
+    Request(2, cookie);
+    ReadFor(milliseconds(200));
+    CPPUNIT_ASSERT(Retransmit(1, cookie).action == ForwardAction::kForward);
+    CPPUNIT_ASSERT(!m_balancer.placement().IsLost(1));
+    Retransmit(2, cookie);
+    CPPUNIT_ASSERT(m_balancer.placement().IsLost(1));
+    CPPUNIT_ASSERT(!m_balancer.NextTick().has_value());
+    ReadFor(milliseconds(400));
+    CPPUNIT_ASSERT(Retransmit(1, cookie).action == ForwardAction::kForward);
+    // The two flows that retransmit and the two idle ones are reset, once
+    // everything that had arrived was read.
+    CPPUNIT_ASSERT(m_balancer.NextTick() <= m_now);
+    CPPUNIT_ASSERT(m_balancer.OnTick(m_now).empty());
+    Drain();
+    const auto resets = m_balancer.OnTick(m_now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, resets.size());
+    for (const Forwarding& reset : resets) {
+      CPPUNIT_ASSERT(reset.action == ForwardAction::kReset);
+      CPPUNIT_ASSERT(reset.reason == ForwardReason::kTargetLost);
+      CPPUNIT_ASSERT_EQUAL(kAcknowledged, reset.reset_sequence);
+    }
+    for (std::uint16_t port = 100; port < 120; ++port) {
+      const Forwarding opened = m_balancer.OnPacket(Opening(port), kSyn, m_now);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, opened.target);
+    }
+    CPPUNIT_ASSERT(m_reported ==
+                   std::vector<TargetHealthEvent>{TargetHealthEvent::kLost});
+  }
+
+  // An expired lease and a renewed one are each reported once.
+  void ReportsLeaseExpiryAndRenewal() {
+    ReadFor(4 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_reported.size());
+    CPPUNIT_ASSERT(m_reported[0] == TargetHealthEvent::kLeaseExpired);
+    m_directory.Renew(CookieOf(1), m_now);
+    ReadFor(kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_reported.size());
+    CPPUNIT_ASSERT(m_reported[2] == TargetHealthEvent::kLeaseRenewed);
+  }
+
+  void NonIdempotentRequestsUnderWayAreNotReset() {
+    const std::uint32_t cookie = CookieOf(1);
+    OpenAt(1, kNotes, 1);
+    OpenAt(2, kNotes, 1);
+    Request(1, cookie, kNotes);
+    Request(2, cookie, kNotes);
+    ReadFor(milliseconds(200));
+    Retransmit(1, cookie, kNotes);
+    Retransmit(2, cookie, kNotes);
+    CPPUNIT_ASSERT(GiveUpLostTargets().empty());
+    ReadFor(milliseconds(400));
+    CPPUNIT_ASSERT(Retransmit(1, cookie, kNotes).action ==
+                   ForwardAction::kForward);
+    CPPUNIT_ASSERT(GiveUpLostTargets().empty());
+    CPPUNIT_ASSERT(m_balancer.placement().IsLostConfirmed(1));
+    ReadFor(milliseconds(800));
+    CPPUNIT_ASSERT(Retransmit(1, cookie, kNotes).action ==
+                   ForwardAction::kForward);
+  }
+
+  void StalledBalancerDoesNotMarkTargetsLost() {
+    const std::uint32_t cookie = CookieOf(1);
+    OpenAt(1, kService, 1);
+    OpenAt(2, kService, 1);
+    Request(1, cookie);
+    Request(2, cookie);
+    // The process stalls, then all packets arrive at once.
+    m_now += 4 * kSecond;
+    for (std::uint16_t port = 1; port <= 2; ++port) {
+      for (int i = 0; i < 3; ++i) Retransmit(port, cookie);
+    }
+    CPPUNIT_ASSERT(GiveUpLostTargets().empty());
+    CPPUNIT_ASSERT(!m_balancer.placement().IsLost(1));
+  }
+
+  // Guards against resets of a living target's flows after two datagrams were
+  // lost at one moment (review, case 5).
+  void TwoLostRequestsResetNoFlow() {
+    const std::uint32_t cookie = CookieOf(1);
+    for (std::uint16_t port = 1; port <= 4; ++port) OpenAt(port, kService, 1);
+    Request(1, cookie);
+    Request(2, cookie);
+    ReadFor(milliseconds(200));
+    Retransmit(1, cookie);
+    Retransmit(2, cookie);
+    CPPUNIT_ASSERT(m_balancer.placement().IsLost(1));
+    CPPUNIT_ASSERT(GiveUpLostTargets().empty());
+    // The target answers the retransmitted requests.
+    ReadFor(milliseconds(100));
+    Acknowledge(1, cookie);
+    CPPUNIT_ASSERT(GiveUpLostTargets().empty());
+    CPPUNIT_ASSERT(!m_balancer.placement().IsLost(1));
+    CPPUNIT_ASSERT(Retransmit(2, cookie).action == ForwardAction::kForward);
+    CPPUNIT_ASSERT(!m_balancer.NextTick().has_value());
+  }
+
+  // Guards against resets of a living target's flows whose answers waited in
+  // the socket while this process stalled (review, case 3).
+  void UnreadAnswerKeepsTheFlowsOfALostTarget() {
+    const std::uint32_t cookie = CookieOf(1);
+    for (std::uint16_t port = 1; port <= 3; ++port) OpenAt(port, kService, 1);
+    Request(1, cookie);
+    Request(2, cookie);
+    ReadFor(milliseconds(200));
+    Retransmit(1, cookie);
+    Retransmit(2, cookie);
+    Drain();
+    // The process stalls. The target answers the second copies; the answer
+    // waits behind another copy.
+    m_now += milliseconds(190);
+    CPPUNIT_ASSERT(m_balancer.OnTick(m_now).empty());
+    Retransmit(1, cookie);
+    CPPUNIT_ASSERT(m_balancer.OnTick(m_now).empty());
+    Acknowledge(1, cookie);
+    Drain();
+    CPPUNIT_ASSERT(m_balancer.OnTick(m_now).empty());
+    CPPUNIT_ASSERT(!m_balancer.placement().IsLost(1));
+  }
+
+  // Guards against resets after this balancer left the rotation: callers and
+  // their answers then reach other balancers.
+  void SilenceAloneResetsNoFlow() {
+    const std::uint32_t cookie = CookieOf(1);
+    for (std::uint16_t port = 1; port <= 3; ++port) OpenAt(port, kService, 1);
+    Request(1, cookie);
+    Request(2, cookie);
+    ReadFor(milliseconds(200));
+    Retransmit(1, cookie);
+    Retransmit(2, cookie);
+    for (int i = 0; i < 20; ++i) {
+      ReadFor(milliseconds(50));
+      CPPUNIT_ASSERT(m_balancer.OnTick(m_now).empty());
+    }
+  }
+
+  // Guards against resets after packets that this process or its kernel
+  // dropped: a full receive buffer, a failed send.
+  void PacketsDroppedHereAreNoEvidence() {
+    const std::uint32_t cookie = CookieOf(1);
+    for (std::uint16_t port = 1; port <= 3; ++port) OpenAt(port, kService, 1);
+    Request(1, cookie);
+    Request(2, cookie);
+    for (const int wait_ms : {200, 400, 800}) {
+      // Each copy is dropped on its way out.
+      m_balancer.OnPacketsDropped();
+      ReadFor(milliseconds(wait_ms));
+      Retransmit(1, cookie);
+      Retransmit(2, cookie);
+      CPPUNIT_ASSERT(GiveUpLostTargets().empty());
+      CPPUNIT_ASSERT(!m_balancer.placement().IsLost(1));
+    }
+    // Copies that were not dropped count again.
+    ReadFor(milliseconds(1000));
+    Retransmit(1, cookie);
+    ReadFor(milliseconds(1000));
+    Retransmit(1, cookie);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, GiveUpLostTargets().size());
+  }
+
+  // Copies that this process held did not arrive when they are processed.
+  void HeldCopiesAreNoEvidence() {
+    const std::uint32_t cookie = CookieOf(1);
+    OpenAt(1, kService, 1);
+    Request(1, cookie);
+    FlowPacket copy = Data(1, cookie, 300);
+    copy.is_held = true;
+    for (int i = 0; i < 4; ++i) {
+      ReadFor(milliseconds(400));
+      m_balancer.OnPacket(copy, {}, m_now);
+    }
+    CPPUNIT_ASSERT(!m_balancer.placement().IsLost(1));
+  }
+
+  // Guards against copies to a second target, and against avoiding the first
+  // one, because its answer waited in the socket while this process stalled.
+  void LateBalancerDoesNotResendAnAnsweredOpeningPacket() {
+    const Forwarding first = m_balancer.OnPacket(Opening(1), kSyn, m_now);
+    Drain();
+    m_now += milliseconds(500);
+    CPPUNIT_ASSERT(m_balancer.OnTick(m_now).empty());
+    CPPUNIT_ASSERT(!m_balancer.placement().IsSuspect(first.target, m_now));
+    m_balancer.OnPacket(Data(1, first.cookie, 1), {}, m_now);
+    Drain();
+    CPPUNIT_ASSERT(m_balancer.OnTick(m_now + kSecond).empty());
+    CPPUNIT_ASSERT(!m_balancer.placement().IsSuspect(first.target, m_now));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CookieBalancerLossTest);
+
+}  // namespace
+}  // namespace sardinelead
