--- a/tests/cookie_balancer_loss_test.cc
+++ b/tests/cookie_balancer_loss_test.cc
@@ -124,11 +124,7 @@
   void TwoLostRequestsResetNoFlow() {
     const std::uint32_t cookie = CookieOf(1);
     for (std::uint16_t port = 1; port <= 4; ++port) OpenAt(port, kService, 1);
-    Request(1, cookie);
-    Request(2, cookie);
-    ReadFor(milliseconds(200));
-    Retransmit(1, cookie);
-    Retransmit(2, cookie);
+    RetransmitTwoRequests(cookie);
     CPPUNIT_ASSERT(m_balancer.placement().IsLost(1));
     CPPUNIT_ASSERT(GiveUpLostTargets().empty());
     // The target answers the retransmitted requests.
@@ -145,11 +141,7 @@
   void UnreadAnswerKeepsTheFlowsOfALostTarget() {
     const std::uint32_t cookie = CookieOf(1);
     for (std::uint16_t port = 1; port <= 3; ++port) OpenAt(port, kService, 1);
-    Request(1, cookie);
-    Request(2, cookie);
-    ReadFor(milliseconds(200));
-    Retransmit(1, cookie);
-    Retransmit(2, cookie);
+    RetransmitTwoRequests(cookie);
     Drain();
     // The process stalls. The target answers the second copies; the answer
     // waits behind another copy.
@@ -168,11 +160,7 @@
   void SilenceAloneResetsNoFlow() {
     const std::uint32_t cookie = CookieOf(1);
     for (std::uint16_t port = 1; port <= 3; ++port) OpenAt(port, kService, 1);
-    Request(1, cookie);
-    Request(2, cookie);
-    ReadFor(milliseconds(200));
-    Retransmit(1, cookie);
-    Retransmit(2, cookie);
+    RetransmitTwoRequests(cookie);
     for (int i = 0; i < 20; ++i) {
       ReadFor(milliseconds(50));
       CPPUNIT_ASSERT(m_balancer.OnTick(m_now).empty());
@@ -230,6 +218,17 @@
     CPPUNIT_ASSERT(m_balancer.OnTick(m_now + kSecond).empty());
     CPPUNIT_ASSERT(!m_balancer.placement().IsSuspect(first.target, m_now));
   }
+
+ private:
+  // The first copies of two requests get no answer, so the target is lost.
+  void RetransmitTwoRequests(std::uint32_t cookie) {
+    Request(1, cookie);
+    Request(2, cookie);
+    ReadFor(milliseconds(200));
+    Retransmit(1, cookie);
+    Retransmit(2, cookie);
+    CPPUNIT_ASSERT(m_balancer.placement().IsLost(1));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CookieBalancerLossTest);
