RouteHistory is a public header, as FeedPublisher needs what it returns

Cause: an embedder of FeedPublisher could not include it. Change: the header moves to include/sardinelead/. Measured: builds; no behaviour changed.

--- a/bench/routes_bench.cc
+++ b/bench/routes_bench.cc
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "bench.h"
-#include "route_history.h"
+#include "sardinelead/route_history.h"
 #include "sardinelead/route_table.h"
 
 namespace sardinelead::bench {
--- a/src/route_history.h
+++ b/include/sardinelead/route_history.h
@@ -1,5 +1,5 @@
-#ifndef SARDINELEAD_SRC_ROUTE_HISTORY_H_
-#define SARDINELEAD_SRC_ROUTE_HISTORY_H_
+#ifndef SARDINELEAD_ROUTE_HISTORY_H_
+#define SARDINELEAD_ROUTE_HISTORY_H_
 
 // The routes of a control VM and their latest changes, as subscribers need
 // them.
@@ -47,4 +47,4 @@
 
 }  // namespace sardinelead
 
-#endif  // SARDINELEAD_SRC_ROUTE_HISTORY_H_
+#endif  // SARDINELEAD_ROUTE_HISTORY_H_
--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -17,11 +17,11 @@
 #include <string>
 #include <unordered_map>
 
-#include "route_history.h"
 #include "sardinelead/feed_follower.h"
 #include "sardinelead/feed_publisher.h"
 #include "sardinelead/journal.h"
 #include "sardinelead/replica.h"
+#include "sardinelead/route_history.h"
 #include "sardinelead/route_table.h"
 #include "sardinelead/target_directory.h"
 
--- a/src/route_history.cc
+++ b/src/route_history.cc
@@ -1,4 +1,4 @@
-#include "route_history.h"
+#include "sardinelead/route_history.h"
 
 #include <algorithm>
 #include <utility>
--- a/tests/route_change_test.cc
+++ b/tests/route_change_test.cc
@@ -5,7 +5,7 @@
 #include <random>
 
 #include "quick.h"
-#include "route_history.h"
+#include "sardinelead/route_history.h"
 #include "sardinelead/route_table.h"
 
 namespace sardinelead {
--- a/tests/target_feed_test.cc
+++ b/tests/target_feed_test.cc
@@ -10,9 +10,9 @@
 #include <set>
 
 #include "feed_message.h"
-#include "route_history.h"
 #include "sardinelead/feed_follower.h"
 #include "sardinelead/feed_publisher.h"
+#include "sardinelead/route_history.h"
 
 namespace sardinelead {
 namespace {
