--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -101,8 +101,10 @@
     std::ifstream log(entry.path() / "log");
     for (std::string line; std::getline(log, line);) {
       if (line.find("event=target-lost") == std::string::npos) continue;
-      world->ledger.AddViolation(name +
-                                 " took a living target for lost: " + line);
+      std::string what = name;
+      what += " took a living target for lost: ";
+      what += line;
+      world->ledger.AddViolation(what);
     }
   }
 }
--- a/tests/balancer_stall_test.cc
+++ b/tests/balancer_stall_test.cc
@@ -230,6 +230,7 @@
     }
     Reach(StallPoint::kBeforeProcessing);
     std::vector<Forwarding> out;
+    out.reserve(packets.size());
     for (const Arrival& arrival : packets) {
       out.push_back(m_balancer.OnPacket(arrival.packet, {}, m_now));
     }
@@ -332,6 +333,7 @@
  private:
   static std::vector<StallPoint> Points() {
     std::vector<StallPoint> points;
+    points.reserve(static_cast<std::size_t>(StallPoint::kCount));
     for (int i = 0; i < static_cast<int>(StallPoint::kCount); ++i) {
       points.push_back(static_cast<StallPoint>(i));
     }
