Soak: a killed process has no grace to end in

The log of that process has no `stopping` line: it got SIGKILL (all control processes were killed), not SIGTERM, and the kernel had not ended it 100 ms later, when its restart was due. The check speaks of the grace after SIGTERM. Change: the check applies to processes that were told to stop, as before; a killed one is restarted once it has ended.

--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -138,6 +138,7 @@
                                          ? m_last_incarnation - back + 1
                                          : 1));
   process->is_expected_to_end = false;
+  process->is_killed = false;
   process->is_stopped = false;
   process->is_paused = false;
   process->start_at = TimePoint{};
@@ -195,6 +196,7 @@
   m_state->ledger.RecordFault(process->node, process->is_control,
                               wipe ? "kill and wipe" : "kill");
   process->is_expected_to_end = true;
+  process->is_killed = true;
   process->child->Signal(SIGKILL);
   process->start_at = SteadyNow() + RandomSpan(100, 2000);
   if (!wipe) return;
@@ -454,9 +456,13 @@
         process->start_at != TimePoint{} && now >= process->start_at;
     if (!is_due) continue;
     if (process->child->IsRunning()) {
-      m_state->ledger.AddViolation(process->child->name() +
-                                   " did not end within its grace");
-      process->child->Signal(SIGKILL);
+      if (!process->is_killed) {
+        m_state->ledger.AddViolation(process->child->name() +
+                                     " did not end within its grace");
+        process->child->Signal(SIGKILL);
+        process->is_killed = true;
+      }
+      // The kernel has not ended it yet.
       process->start_at = now + milliseconds(100);
       continue;
     }
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -60,6 +60,7 @@
     bool is_control = false;
     std::unique_ptr<Child> child;
     bool is_expected_to_end = false;
+    bool is_killed = false;   // By SIGKILL, so it has no grace to end in.
     bool is_stopped = false;  // By a fault.
     bool is_paused = false;   // Has had its share.
     bool is_full = false;
