Soak and tests show open flows reset by targets that do not hold them

What callers saw: an open flow ends with a reset, though its target serves. Change: the soak's callers and targets follow the platform's protocol (the last cookie is returned, opening answers are repeated, a flow opens at the target whose sequence number is acknowledged, targets are paused at times, routers find a balancer late), and a reset by another target is a violation.

--- a/soak/actors.cc
+++ b/soak/actors.cc
@@ -17,6 +17,16 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+// Retransmission of a target's answer to an opening packet, by the platform's
+// protocol: after 200 ms, then after twice as long each time.
+constexpr Duration kFirstRetransmission = milliseconds(200);
+constexpr Duration kLongestRetransmission = milliseconds(1600);
+constexpr int kMaxRetransmissions = 8;
+// One opening packet in this many finds the target's process paused, and one
+// pause in this many is a long one.
+constexpr std::uint64_t kPauseInterval = 20;
+constexpr std::uint64_t kLongPauseInterval = 20;
+
 std::uint64_t UnixMs() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   return static_cast<std::uint64_t>(
@@ -80,6 +90,7 @@
   while (!m_is_down) {
     Endpoint source;
     const auto datagram = socket.Receive(milliseconds(20), &source);
+    RetransmitOpeningAnswers(socket);
     if (!datagram || datagram->size() < 8) continue;
     // Addressed to an earlier target at this address; ignored.
     if (LoadBigEndian<std::uint64_t>(datagram->data()) != m_number) continue;
@@ -95,35 +106,78 @@
   }
 }
 
+// The process gets no processor for a while. All that it would do waits.
+void TargetActor::PauseAtTimes() {
+  const bool is_paused =
+      m_state->do_targets_pause && m_random() % kPauseInterval == 0;
+  if (!is_paused) return;
+  const bool is_long = m_random() % kLongPauseInterval == 0;
+  Sleep(
+      milliseconds(is_long ? 700 + m_random() % 1800 : 60 + m_random() % 100));
+}
+
+// An opening answer that the caller does not acknowledge is sent again, also
+// where the caller has opened the flow at another target.
+void TargetActor::RetransmitOpeningAnswers(const UdpSocket& socket) {
+  const TimePoint now = SteadyNow();
+  for (auto& [key, flow] : m_flows) {
+    const bool is_due = !flow.is_open && now >= flow.retransmit_at &&
+                        flow.retransmissions < kMaxRetransmissions;
+    if (!is_due) continue;
+    socket.Send({key.first.address, kPacketPort}, flow.opening_answer);
+    ++flow.retransmissions;
+    flow.retransmission_wait =
+        std::min(flow.retransmission_wait * 2, kLongestRetransmission);
+    flow.retransmit_at = now + flow.retransmission_wait;
+  }
+}
+
+void TargetActor::OnOpening(const Packet& packet, std::uint32_t edge,
+                            const UdpSocket& socket) {
+  const auto [found, is_new] =
+      m_flows.try_emplace(std::make_pair(packet.source, packet.destination));
+  Flow& flow = found->second;
+  if (is_new) {
+    flow.sequence = static_cast<std::uint32_t>(m_random());
+    flow.next = packet.sequence + 1;
+    m_state->ledger.OnOpened(m_number, m_pool, packet.destination, edge,
+                             SteadyNow());
+  }
+  PauseAtTimes();
+  Packet reply;
+  reply.source = packet.destination;
+  reply.destination = packet.source;
+  reply.cookie = packet.cookie;
+  reply.flags = kOpen | kAcknowledge;
+  reply.sequence = flow.sequence;
+  reply.acknowledged = flow.next;
+  flow.opening_answer = reply.Encode();
+  flow.retransmission_wait = kFirstRetransmission;
+  flow.retransmit_at = SteadyNow() + kFirstRetransmission;
+  socket.Send({packet.source.address, kPacketPort}, flow.opening_answer);
+}
+
 void TargetActor::OnPacket(const Packet& packet, std::uint32_t edge,
                            const UdpSocket& socket) {
+  if ((packet.flags & kOpen) != 0) return OnOpening(packet, edge, socket);
   Packet reply;
   reply.source = packet.destination;
   reply.destination = packet.source;
   reply.cookie = packet.cookie;
   const Endpoint to{packet.source.address, kPacketPort};
-  const auto key = std::make_pair(packet.source, packet.destination);
-  if ((packet.flags & kOpen) != 0) {
-    const auto [found, is_new] = m_flows.try_emplace(key);
-    Flow& flow = found->second;
-    if (is_new) {
-      flow.sequence = static_cast<std::uint32_t>(m_random());
-      flow.next = packet.sequence + 1;
-      m_state->ledger.OnOpened(m_number, m_pool, packet.destination, edge,
-                               SteadyNow());
-    }
-    reply.flags = kOpen | kAcknowledge;
-    reply.sequence = flow.sequence;
-    reply.acknowledged = flow.next;
-    return socket.Send(to, reply.Encode());
-  }
-  const auto found = m_flows.find(key);
-  if (found == m_flows.end()) {
+  const auto found =
+      m_flows.find(std::make_pair(packet.source, packet.destination));
+  // The flow opens at the target whose sequence number the caller acknowledges.
+  const bool is_held = found != m_flows.end() &&
+                       (found->second.is_open ||
+                        packet.acknowledged == found->second.sequence + 1);
+  if (!is_held) {
     reply.flags = kReset;
     reply.sequence = packet.acknowledged;
     return socket.Send(to, reply.Encode());
   }
   Flow& flow = found->second;
+  flow.is_open = true;
   const bool is_next = packet.sequence == flow.next && packet.data.size() >= 9;
   if (is_next) {
     const auto request = LoadBigEndian<std::uint64_t>(packet.data.data());
--- a/soak/actors.h
+++ b/soak/actors.h
@@ -43,6 +43,8 @@
   std::atomic<bool> is_over{false};
   // How the configuration grows and changes.
   ConfigPlan config_plan;
+  // Whether the process of a target is paused at times, as by a scheduler.
+  bool do_targets_pause = true;
 
   // Edges that the routers currently send traffic to.
   std::vector<std::uint32_t> InRotation() const;
@@ -79,12 +81,22 @@
     std::uint32_t next = 0;  // Next sequence number expected from the caller.
     std::uint32_t sequence = 0;  // Next sequence number to send.
     Bytes answer;                // The last answer, kept for retransmission.
+    // Whether the caller has acknowledged `sequence`. Until then, the answer to
+    // the opening packet is retransmitted.
     bool is_open = false;
+    Bytes opening_answer;
+    Duration retransmission_wait{0};
+    TimePoint retransmit_at;
+    int retransmissions = 0;
   };
 
   void Serve();
   void OnPacket(const struct Packet& packet, std::uint32_t edge,
                 const class UdpSocket& socket);
+  void OnOpening(const struct Packet& packet, std::uint32_t edge,
+                 const class UdpSocket& socket);
+  void RetransmitOpeningAnswers(const class UdpSocket& socket);
+  void PauseAtTimes();
   void Announce();
   bool PostInstance(const char* call, const char* state);
 
@@ -107,7 +119,9 @@
 
 // Runs flows of several requests each, one flow at a time, until the run ends.
 void RunCaller(SoakState* world, std::uint32_t address, std::uint64_t seed);
-void RunRouters(SoakState* world);
+// Sends the packets of callers to the balancers that answer readiness checks in
+// time. Some answers come late, so that flows move while all balancers run.
+void RunRouters(SoakState* world, std::uint64_t seed);
 // Changes the configuration at random intervals, sometimes with two concurrent
 // updates.
 void RunOperator(SoakState* world, std::uint64_t seed);
--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -40,11 +40,11 @@
       const auto answer = Wait(begin + until, kOpen, m_sequence + 1);
       if (m_is_reset || m_state->is_over) return false;
       if (!answer) continue;
-      m_cookie = answer->cookie;
       m_sequence += 1;
       m_acknowledged = answer->sequence + 1;
       m_is_open = true;
-      m_target = m_state->TargetAt(m_answered_by);
+      m_opened_at = m_answered_by;
+      m_target = m_state->TargetAt(m_opened_at);
       Send(Make(kAcknowledge));
       return true;
     }
@@ -78,6 +78,14 @@
     return false;
   }
 
+  // Makes no request for `span`, but still receives. Returns whether the flow
+  // is still open.
+  bool Idle(Duration span) {
+    constexpr std::uint8_t kNoFlag = 0;  // No packet is waited for.
+    Wait(SteadyNow() + span, kNoFlag, 0);
+    return !m_is_reset;
+  }
+
   void Finish() { Send(Make(kFinish | kAcknowledge)); }
 
  private:
@@ -127,9 +135,16 @@
       const bool is_own = packet && packet->destination == m_caller &&
                           packet->source == m_service;
       if (!is_own) continue;
+      // A caller returns the last cookie that it received on the flow, whoever
+      // sent it.
+      if (packet->cookie != 0) m_cookie = packet->cookie;
       if ((packet->flags & kReset) != 0) {
         m_is_reset = true;
-        if (!is_whole) OnBalancersReset(source.address.ToV4());
+        if (is_whole) {
+          OnTargetsReset(source);
+        } else {
+          OnBalancersReset(source.address.ToV4());
+        }
         return std::nullopt;
       }
       if (!is_whole) {
@@ -141,17 +156,24 @@
                              (flag == kOpen || !packet->data.empty());
       if (!is_answer) continue;
       m_answered_by = source;
-      m_cookie = packet->cookie;
       return packet;
     }
     return std::nullopt;
   }
 
+  std::string Describe() const {
+    return m_caller.ToString() + " to " + m_service.ToString() + " at target " +
+           m_opened_at.ToString();
+  }
+
   void OnBalancersReset(std::uint32_t edge) {
-    m_state->ledger.OnReset(m_target, m_is_open, edge, m_service,
-                            m_caller.ToString() + " to " +
-                                m_service.ToString() + " at target " +
-                                m_answered_by.ToString());
+    m_state->ledger.OnReset(m_target, m_is_open, edge, m_service, Describe());
+  }
+
+  void OnTargetsReset(const Endpoint& sender) {
+    if (!m_is_open || sender == m_opened_at) return;
+    m_state->ledger.OnResetByOtherTarget(
+        m_target, Describe() + ", reset by " + sender.ToString());
   }
 
   SoakState* m_state;
@@ -164,7 +186,8 @@
   bool m_is_open = false;
   bool m_is_reset = false;
   Endpoint m_answered_by;      // Source of the last accepted packet.
-  std::uint64_t m_target = 0;  // The target that the flow opened at.
+  Endpoint m_opened_at;        // Address of the target the flow opened at.
+  std::uint64_t m_target = 0;  // That target's number.
 };
 
 // Picks a random service; 70% of the picks always have a route.
@@ -197,7 +220,7 @@
       if (!is_open && must_serve && !world->is_over) {
         world->ledger.OnFailed(request);
       }
-      Sleep(milliseconds(random() % 200));
+      is_open = is_open && flow.Idle(milliseconds(random() % 400));
     }
     if (is_open) flow.Finish();
     Sleep(milliseconds(20 + random() % 50));
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -193,6 +193,14 @@
   }
 }
 
+void Ledger::OnResetByOtherTarget(std::uint64_t target,
+                                  const std::string& what) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_resets;
+  if (m_down_targets.count(target) != 0) return;
+  AddViolationLocked("an open flow was reset by another target: " + what);
+}
+
 void Ledger::OnProcessEnded(const std::string& name, int status) {
   AddViolation("process " + name + " ended by itself, status " +
                std::to_string(status));
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -58,6 +58,10 @@
   // Records a reset that the flow's target did not send.
   void OnReset(std::uint64_t target, bool is_open, std::uint32_t edge,
                const Endpoint& service, const std::string& what);
+  // Records that a target other than the flow's own reset an open flow. A
+  // target resets each packet of a flow that it does not hold, so this also
+  // shows packets that go to another target.
+  void OnResetByOtherTarget(std::uint64_t target, const std::string& what);
 
   void OnProcessEnded(const std::string& name, int status);
   void AddViolation(const std::string& what);
--- a/soak/operator.cc
+++ b/soak/operator.cc
@@ -1,6 +1,7 @@
 // Routers, operators and configuration readers.
 
 #include <nlohmann/json.hpp>
+#include <random>
 #include <thread>
 #include <utility>
 
@@ -14,9 +15,13 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+// In one of this many rounds of readiness checks, one answer comes late.
+constexpr std::uint64_t kLateCheckInterval = 3;
+
 }  // namespace
 
-void RunRouters(SoakState* world) {
+void RunRouters(SoakState* world, std::uint64_t seed) {
+  std::mt19937_64 random(seed);
   std::map<std::uint32_t, int> misses;
   while (!world->is_over) {
     std::vector<std::uint32_t> in_rotation;
@@ -33,6 +38,13 @@
     if (in_rotation.size() * 2 < world->edges.size()) {
       in_rotation = world->edges;
     }
+    const bool is_one_late =
+        in_rotation.size() > 2 && random() % kLateCheckInterval == 0;
+    if (is_one_late) {
+      in_rotation.erase(
+          in_rotation.begin() +
+          static_cast<std::ptrdiff_t>(random() % in_rotation.size()));
+    }
     world->SetInRotation(std::move(in_rotation));
     Sleep(milliseconds(300));
   }
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -34,6 +34,8 @@
 DEFINE_int32(callers, 8, "callers at a time");
 DEFINE_int32(network, 77, "addresses are 127.NETWORK.x.x");
 DEFINE_bool(faults, true, "false leaves only changes of the configuration");
+DEFINE_bool(target_pauses, true,
+            "whether the processes of targets are paused at times");
 DEFINE_double(edge_share, 1,
               "the share of each period in which each balancer runs");
 DEFINE_int32(share_period_ms, 100, "the period of --edge_share");
@@ -92,8 +94,8 @@
   }
 }
 
-// Without faults all targets live, so a balancer that takes one for lost was
-// misled by its own pauses.
+// Without faults and pauses of targets all targets answer at once, so a
+// balancer that takes one for lost was misled by its own pauses.
 void CheckNoTargetWasLost(const std::string& folder, SoakState* world) {
   for (const auto& entry : std::filesystem::directory_iterator(folder)) {
     const std::string name = entry.path().filename().string();
@@ -123,6 +125,7 @@
   std::filesystem::remove_all(settings.folder);
   std::printf("seed %llu\n", static_cast<unsigned long long>(seed));  // NOLINT
   SoakState world;
+  world.do_targets_pause = FLAGS_target_pauses;
   world.config_plan.idle_routes = FLAGS_idle_routes;
   world.config_plan.max_interval = milliseconds(FLAGS_change_interval_ms);
   std::vector<std::thread> actors;
@@ -133,7 +136,7 @@
     if (!SendConfig(&world, 1, seconds(10), &random)) {
       world.ledger.AddViolation("the first configuration was not accepted");
     }
-    actors.emplace_back([&world] { RunRouters(&world); });
+    actors.emplace_back([&world, seed] { RunRouters(&world, seed); });
     RunFor(&system, seconds(2), false, &random);
     for (int i = 0; i < FLAGS_callers; ++i) {
       const std::uint32_t address = (world.edges.front() & 0xffff0000) + 0x401 +
@@ -159,7 +162,9 @@
                                 std::to_string(served + failed) +
                                 " requests were served after all was healed");
     }
-    if (!FLAGS_faults) CheckNoTargetWasLost(settings.folder, &world);
+    if (!FLAGS_faults && !FLAGS_target_pauses) {
+      CheckNoTargetWasLost(settings.folder, &world);
+    }
     system.EndShares();
     CheckReadBack(&world);
     CheckMetrics(&world);
--- a/soak/wire.cc
+++ b/soak/wire.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 
@@ -85,8 +86,10 @@
 
 std::optional<Bytes> UdpSocket::Receive(Duration wait, Endpoint* source) const {
   pollfd in{m_handle, POLLIN, 0};
+  // poll() takes a negative time for no limit.
+  const Duration limit = std::max(wait, Duration{0});
   const auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+      std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
   if (poll(&in, 1, static_cast<int>(ms)) != 1) return std::nullopt;
   std::array<std::uint8_t, 2048> buffer;
   SocketAddress address;
--- a/tests/soak_ledger_test.cc
+++ b/tests/soak_ledger_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(CatchesAnotherRequestsAnswer);
   CPPUNIT_TEST(CatchesAProcessThatEnded);
   CPPUNIT_TEST(CatchesAResetOfAnOpenFlow);
+  CPPUNIT_TEST(CatchesAResetByAnotherTarget);
   CPPUNIT_TEST(AllowsAResetAfterAFault);
   CPPUNIT_TEST_SUITE_END();
 
@@ -80,6 +81,15 @@
     m_ledger.OnReset(5, true, kEdge, kService, "open");
     AssertViolation(true);
   }
+  // No fault justifies it: only the flow's own target may reset it then.
+  void CatchesAResetByAnotherTarget() {
+    m_ledger.RecordFault(kEdge, false, "kill");
+    m_ledger.OnTargetDown(6);
+    m_ledger.OnResetByOtherTarget(6, "its target is down");
+    AssertViolation(false);
+    m_ledger.OnResetByOtherTarget(5, "its target lives");
+    AssertViolation(true);
+  }
   void AllowsAResetAfterAFault() {
     m_ledger.SkipTime(kStableTime + kConfigApplyLimit);
     m_ledger.RecordFault(kEdge, false, "kill");
