A suspect target is probed only after another heartbeat

Cause: a target that leaves opening packets unanswered gets a new flow every 0.7 s to see whether it answers again. For one that crashed, each costs a caller its attempt. Change: a probe waits for a heartbeat later than the last one (PlacementTarget::heard_at).

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -262,7 +262,7 @@
   const std::vector<PlacementTarget>& TargetsInPool(const std::string& pool,
                                                     TimePoint now);
   bool HasValidLease(const TargetDirectory::Entry& entry) const;
-  void RebuildTargetLists();
+  void RebuildTargetLists(TimePoint now);
   void AddRemovedRoute(const Endpoint& address);
   void UpdateFlow(const FlowPacket& packet, std::uint64_t target,
                   TimePoint now);
--- a/include/sardinelead/flow_placement.h
+++ b/include/sardinelead/flow_placement.h
@@ -42,7 +42,8 @@
   // several requests may have been dropped by a full link at one moment, and a
   // target that has got a second copy acknowledges it at once, however busy.
   std::uint32_t retransmissions_until_reset = 2;
-  // An unresponsive target is probed with one new flow at this interval.
+  // An unresponsive target is probed with one new flow at this interval, if it
+  // has sent a heartbeat since the last one.
   Duration probe_interval = std::chrono::milliseconds(700);
   // Load of the local data centre, as a fraction of its slots, at which other
   // data centres start to take new flows, and at which they take half of them.
@@ -67,6 +68,7 @@
   std::uint32_t slots = 1;
   bool is_local = false;  // In the balancer's data centre.
   bool is_warming_up = false;
+  TimePoint heard_at;  // Last heartbeat, or earlier.
 };
 
 // Statistics on one target, from this balancer's flows.
@@ -139,6 +141,8 @@
  private:
   static void RecordAnswer(TargetStats* view, TimePoint now);
   double ActiveRequestsAt(const TargetStats& view, TimePoint now) const;
+  bool IsProbeDue(const PlacementTarget& target, const TargetStats& view,
+                  TimePoint now) const;
   double Score(const PlacementTarget& target, TimePoint now) const;
   double UnansweredShareAt(const TargetStats& view, TimePoint now) const;
   static double EstimateActiveRequests(double mean, double waiting);
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -400,7 +400,7 @@
 // Lists the targets with a valid lease. A pool without any such target uses its
 // expired ones: if all leases expire at once, the likely cause is the path of
 // the heartbeats, not the targets.
-void CookieBalancer::RebuildTargetLists() {
+void CookieBalancer::RebuildTargetLists(TimePoint now) {
   std::unordered_map<std::string, std::vector<PlacementTarget>> silent;
   m_targets.clear();
   for (const auto& [number, entry] : m_directory->entries()) {
@@ -410,6 +410,7 @@
     target.slots = entry.announcement.slots;
     target.is_local = entry.announcement.data_centre == m_settings.data_centre;
     target.is_warming_up = m_hooks.covered_time() < entry.warm_at;
+    target.heard_at = now - (m_hooks.covered_time() - entry.heard_at);
     auto& list = HasValidLease(entry) ? m_targets : silent;
     list[entry.announcement.pool].push_back(target);
   }
@@ -421,7 +422,7 @@
   const bool is_current = m_targets_revision == m_directory->revision() &&
                           now - m_targets_built_at < kTargetListMaxAge;
   if (!is_current) {
-    RebuildTargetLists();
+    RebuildTargetLists(now);
     m_targets_revision = m_directory->revision();
     m_targets_built_at = now;
   }
--- a/src/flow_placement.cc
+++ b/src/flow_placement.cc
@@ -71,11 +71,7 @@
     if (Contains(excluded, target.number)) continue;
     TargetStats& view = m_views[target.number];
     if (IsSuspect(target.number, now)) {
-      const bool is_probe_due =
-          target.is_local &&
-          now - view.probed_at.value_or(view.unanswered_since.value_or(now)) >=
-              m_settings.probe_interval;
-      if (is_probe_due) {
+      if (IsProbeDue(target, view, now)) {
         view.probed_at = now;
         return target.number;
       }
@@ -102,6 +98,16 @@
   return ShouldSpill(load, random) ? remote.number() : local.number();
 }
 
+// The caller of a flow that probes a dead target loses time, and a target that
+// sends no heartbeats is unlikely to answer.
+bool FlowPlacement::IsProbeDue(const PlacementTarget& target,
+                               const TargetStats& view, TimePoint now) const {
+  const TimePoint since =
+      view.probed_at.value_or(view.unanswered_since.value_or(now));
+  return target.is_local && target.heard_at > since &&
+         now - since >= m_settings.probe_interval;
+}
+
 // Estimates the number of requests in progress. Normally the mean; if the
 // current number of waiting requests is too high to be chance, that number, so
 // that a burst is detected before its first answers.
--- a/tests/flow_placement_test.cc
+++ b/tests/flow_placement_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(WarmingUpTargetGetsFewerFlows);
   CPPUNIT_TEST(CrashedTargetIsAvoided);
   CPPUNIT_TEST(SuspectTargetIsProbedPeriodically);
+  CPPUNIT_TEST(SuspectTargetWithoutHeartbeatsIsNotProbed);
   CPPUNIT_TEST(ChoosesWhenAllTargetsAreSuspect);
   CPPUNIT_TEST(RetransmissionsOfTwoFlowsMarkTargetLost);
   CPPUNIT_TEST(OneLostPacketDoesNotMarkTargetLost);
@@ -267,11 +268,25 @@
   }
 
   void SuspectTargetIsProbedPeriodically() {
-    const std::vector<PlacementTarget> targets = {MakeTarget(1), MakeTarget(2)};
+    const int tries = CountProbes(true);
+    CPPUNIT_ASSERT(tries >= 3 && tries <= 12);
+  }
+
+  // A target that crashed costs no further caller its opening packet.
+  void SuspectTargetWithoutHeartbeatsIsNotProbed() {
+    CPPUNIT_ASSERT_EQUAL(0, CountProbes(false));
+  }
+
+  // Returns how many of the flows of three seconds go to a target that answers
+  // none of them.
+  int CountProbes(bool has_heartbeats) {
+    std::vector<PlacementTarget> targets = {MakeTarget(1), MakeTarget(2)};
     const std::uint64_t dead = Open(targets);
     int tries = 0;
+    m_now += milliseconds(61);
     for (int i = 0; i < 300; ++i) {
       m_now += milliseconds(10);
+      if (has_heartbeats) targets[dead - 1].heard_at = m_now;
       const std::uint64_t chosen = Open(targets);
       if (chosen == dead) {
         ++tries;
@@ -279,7 +294,7 @@
         m_placement.OnOpened(chosen, true, m_now);
       }
     }
-    CPPUNIT_ASSERT(tries >= 3 && tries <= 12);
+    return tries;
   }
 
   // If the balancer is partitioned, every target becomes suspect. It must still
