A balancer with an old table resets no flow that may be open

What callers would see: an open flow ends with a reset whose route is in force: a change removes the route, the next one brings it back, the flow opens under the second, and a balancer that has only the first gets its packets. Cause: a table that is applied late decided. The same for copies of an opening packet at a balancer that lacks a new route or whose table is old: the flow may have opened meanwhile. Change: without a route, first opening packets are reset, and flows that this balancer saw open before the route was removed; everything else is dropped. FlowPacket::is_copy tells copies.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -56,13 +56,13 @@
 struct FlowPacket {
   FlowKey flow;
   bool opens = false;         // The caller's opening packet.
+  bool is_copy = false;       // Of an opening packet that was sent before.
   bool acknowledges = false;  // `acknowledged` is valid.
   bool finishes = false;
   bool resets = false;
   std::uint32_t sequence = 0;
-  // The sequence number that the caller expects next. On an opening packet it
-  // is instead the caller's number for this copy of the packet, which
-  // CookieBalancer does not use.
+  // The sequence number that the caller expects next. Unused on an opening
+  // packet.
   std::uint32_t acknowledged = 0;
   std::uint32_t cookie = 0;  // As echoed by the caller; 0 if absent.
   std::uint16_t length = 0;  // Payload length in bytes.
@@ -248,6 +248,7 @@
     std::uint64_t round = 0;
   };
 
+  Forwarding ForwardWithoutRoute(const FlowPacket& packet) const;
   Forwarding ForwardOpening(const FlowPacket& packet, ByteView datagram,
                             TimePoint now);
   Forwarding ForwardEstablished(const FlowPacket& packet, TimePoint now);
@@ -258,6 +259,7 @@
                        ForwardReason reason) const;
   Forwarding PlaceFlow(const FlowKey& key, const Route& route, Flow* flow,
                        ForwardReason reason, TimePoint now);
+  Forwarding Drop(const FlowPacket& packet, ForwardReason reason) const;
   Forwarding MakeReset(const FlowPacket& packet, ForwardReason reason) const;
   const std::vector<PlacementTarget>& TargetsInPool(const std::string& pool,
                                                     TimePoint now);
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -99,26 +99,44 @@
 
 Forwarding CookieBalancer::OnPacket(const FlowPacket& packet, ByteView datagram,
                                     TimePoint now) {
-  Forwarding out;
-  out.flow = packet.flow;
   if (m_routes.version.value == 0) {
+    Forwarding out;
+    out.flow = packet.flow;
     out.action = ForwardAction::kHold;
     return out;
   }
   if (m_routes.Find(packet.flow.service) == nullptr) {
-    const bool was_removed = m_removed_routes.count(packet.flow.service) != 0;
-    if (packet.opens) return MakeReset(packet, ForwardReason::kNoRoute);
-    if (was_removed && !packet.resets) {
-      return MakeReset(packet, ForwardReason::kRouteRemoved);
-    }
-    // Another balancer may have a newer table that contains this route.
-    out.reason = ForwardReason::kNoRoute;
-    return out;
+    return ForwardWithoutRoute(packet);
   }
   return packet.opens ? ForwardOpening(packet, datagram, now)
                       : ForwardEstablished(packet, now);
 }
 
+// Another balancer may have a newer table that contains the route, so only what
+// cannot be an open flow under that table is reset: a first opening packet, and
+// a flow that was seen here before its route was removed.
+Forwarding CookieBalancer::ForwardWithoutRoute(const FlowPacket& packet) const {
+  if (packet.opens && !packet.is_copy) {
+    return MakeReset(packet, ForwardReason::kNoRoute);
+  }
+  const auto flow = m_flows.find(packet.flow);
+  const bool was_removed = m_removed_routes.count(packet.flow.service) != 0 &&
+                           flow != m_flows.end() && flow->second.is_open;
+  if (was_removed && !packet.opens && !packet.resets) {
+    return MakeReset(packet, ForwardReason::kRouteRemoved);
+  }
+  return Drop(packet, ForwardReason::kNoRoute);
+}
+
+Forwarding CookieBalancer::Drop(const FlowPacket& packet,
+                                ForwardReason reason) const {
+  Forwarding out;
+  out.flow = packet.flow;
+  out.action = ForwardAction::kDrop;
+  out.reason = reason;
+  return out;
+}
+
 Forwarding CookieBalancer::MakeReset(const FlowPacket& packet,
                                      ForwardReason reason) const {
   Forwarding out;
--- a/tests/cookie_balancer_fixture.h
+++ b/tests/cookie_balancer_fixture.h
@@ -93,6 +93,14 @@
     return packet;
   }
 
+  // The caller sends its opening packet again.
+  static FlowPacket OpeningCopy(std::uint16_t port,
+                                const Endpoint& service = kService) {
+    FlowPacket packet = Opening(port, service);
+    packet.is_copy = true;
+    return packet;
+  }
+
   static FlowPacket Data(std::uint16_t port, std::uint32_t cookie,
                          std::uint16_t length,
                          const Endpoint& service = kService) {
--- a/tests/cookie_balancer_test.cc
+++ b/tests/cookie_balancer_test.cc
@@ -183,9 +183,14 @@
     const Forwarding refused = m_balancer.OnPacket(packet, kSyn, m_now);
     CPPUNIT_ASSERT(refused.action == ForwardAction::kReset);
     CPPUNIT_ASSERT(refused.reason == ForwardReason::kNoRoute);
+    // A copy may be of a flow that has opened under a newer table.
+    packet.is_copy = true;
+    CPPUNIT_ASSERT(m_balancer.OnPacket(packet, kSyn, m_now).action ==
+                   ForwardAction::kDrop);
   }
 
   void RemovedRouteEndsItsFlowsUnknownOneDoesNot() {
+    OpenAt(1, kNotes, 1);
     SetRoutes(2, {kService});
     FlowPacket removed = Data(1, CookieOf(1), 1, kNotes);
     CPPUNIT_ASSERT(m_balancer.OnPacket(removed, {}, m_now).reason ==
@@ -195,12 +200,17 @@
     unknown.flow.service.port = 9;
     CPPUNIT_ASSERT(m_balancer.OnPacket(unknown, {}, m_now).action ==
                    ForwardAction::kDrop);
+    // So may it contain the removed route again, for flows that are new here.
+    const FlowPacket opened_later = Data(2, CookieOf(1), 1, kNotes);
+    CPPUNIT_ASSERT(m_balancer.OnPacket(opened_later, {}, m_now).action ==
+                   ForwardAction::kDrop);
     SetRoutes(3, {kService, kNotes});
     CPPUNIT_ASSERT(m_balancer.OnPacket(removed, {}, m_now).action ==
                    ForwardAction::kForward);
   }
 
   void ChangeOfRoutesActsAsTheWholeTable() {
+    OpenAt(1, kNotes, 1);
     RouteChange change;
     change.base = ConfigVersion{1};
     change.version = ConfigVersion{2};
