No open flow is reset because its target does not answer

What callers saw: an open flow ends with a balancer's reset although its target lives. A request that was retransmitted twice without an acknowledgement took the target's flows with it. Change: retransmissions keep new flows away from a target (target-lost), and nothing else. Open flows are reset when their target is known to have ended or their route was removed: no delay can look like that. TargetLost leaves the reasons, and with it ConfirmLost, retransmissions_until_reset and the resets at the end of a round.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -17,13 +17,17 @@
 // The per-flow records (m_flows) are statistics only: the load of each target
 // and whether it answers. Losing them at any time does not break flows.
 //
-// A target is given up, and its flows are reset, only once a caller has
-// retransmitted a request to it repeatedly. Answers do not pass through the
-// balancer, so retransmissions are the only sign that a target does not
-// acknowledge. The ages of these copies are measured by ReadProgress, and the
-// decision is made once everything that had arrived has been processed: how
-// fast this process runs, and when it stalls, must not look like a failure of a
-// target. No target is given up because nothing arrives.
+// A flow that may be open is reset only if its target has ended, by its own
+// announcement or that of a later process at its address, or if its route was
+// removed after it was seen here. No flow is reset because of how soon a target
+// answers: a target that is slow or paused looks like one that is gone.
+//
+// A target whose callers retransmit requests gets no new flows while it answers
+// none. Answers do not pass through the balancer, so retransmissions are the
+// only sign that a target does not acknowledge. The ages of these copies are
+// measured by ReadProgress: how fast this process runs, and when it stalls,
+// must not look like a failure of a target. Nor is it a failure that nothing
+// arrives.
 //
 //   Forwarding f = balancer.OnPacket(packet, datagram, now);
 //   balancer.OnDrained(read_at, sent_at);  // After the last pending packet.
@@ -90,7 +94,6 @@
   kNoTarget,       // The pool has no usable target.
   kUnknownCookie,  // No known target has this cookie.
   kTargetEnded,    // The flow's target has ended.
-  kTargetLost,     // The flow's target is marked as lost.
   kNotReady,       // No route table received yet.
   kCount,
 };
@@ -199,9 +202,8 @@
   // This process or its kernel dropped packets. Those forwarded so far say
   // nothing about targets.
   void OnPacketsDropped() { m_progress.OnPacketsDropped(); }
-  // Returns opening packets to resend to another target now, and resets for the
-  // flows of targets that were given up. Call at NextTick(), directly after the
-  // socket was found empty.
+  // Returns opening packets to resend to another target now. Call at
+  // NextTick(), directly after the socket was found empty.
   std::vector<Forwarding> OnTick(TimePoint now);
   // When OnTick() must be called; empty if there is no need.
   std::optional<TimePoint> NextTick() const;
@@ -220,13 +222,9 @@
     bool is_waiting = false;  // A request has no answer yet.
     std::uint32_t acknowledged = 0;
     std::uint32_t data_end = 0;  // Sequence number after the last data byte.
-    bool is_retransmitting = false;  // The caller resends its request.
-    bool may_retry = false;          // The route's requests may run twice.
     // The round in which the opening packet was last placed or, later, in which
-    // the last copy of the request was forwarded that counts as evidence, and
-    // how many retransmissions of it counted.
+    // the last copy of the request was forwarded that counts as evidence.
     std::uint64_t sent_round = 0;
-    std::uint32_t retransmissions = 0;
     TimePoint opened_at;   // Arrival of the first opening packet.
     TimePoint request_at;  // Arrival of the latest new data.
     TimePoint seen_at;
@@ -241,12 +239,6 @@
     FlowKey flow;
     std::uint64_t target = 0;
   };
-  // A lost target whose flows are reset at the end of the round, unless an
-  // answer was among the packets still unread.
-  struct GivenUp {
-    std::uint64_t target = 0;
-    std::uint64_t round = 0;
-  };
 
   Forwarding ForwardWithoutRoute(const FlowPacket& packet) const;
   Forwarding ForwardOpening(const FlowPacket& packet, ByteView datagram,
@@ -275,8 +267,6 @@
   void ResendOpeningPacket(const Retry& retry, TimePoint now,
                            std::vector<Forwarding>* out);
   void AddRetry(const Retry& retry);
-  void GiveUpLostTargets(std::vector<Forwarding>* out);
-  void ResetFlowsOf(std::uint64_t target, std::vector<Forwarding>* out);
   void ReportHealthChanges(TimePoint now);
   void ReportHealth(TargetHealthEvent health_event,
                     const TargetDirectory::Entry& entry, TimePoint now) const;
@@ -291,8 +281,7 @@
   std::unordered_set<Endpoint, EndpointHash> m_removed_routes;
   std::unordered_map<FlowKey, Flow, HashFlowKey> m_flows;
   ReadProgress m_progress;
-  std::vector<Retry> m_retries;  // Ordered by time.
-  std::vector<GivenUp> m_given_up;
+  std::vector<Retry> m_retries;      // Ordered by time.
   std::set<std::uint64_t> m_lost;    // Targets last reported as lost.
   std::set<std::uint64_t> m_silent;  // Targets last reported as silent.
   TimePoint m_health_reported_at;
--- a/include/sardinelead/flow_placement.h
+++ b/include/sardinelead/flow_placement.h
@@ -37,11 +37,6 @@
   // several flows, without any answer from it. A single retransmission may be
   // due to packet loss.
   std::uint32_t retransmissions_until_lost = 2;
-  // A lost target gets no new flows at once. Its open flows are given up only
-  // once the same request was retransmitted this often: the first copies of
-  // several requests may have been dropped by a full link at one moment, and a
-  // target that has got a second copy acknowledges it at once, however busy.
-  std::uint32_t retransmissions_until_reset = 2;
   // An unresponsive target is probed with one new flow at this interval, if it
   // has sent a heartbeat since the last one.
   Duration probe_interval = std::chrono::milliseconds(700);
@@ -91,7 +86,6 @@
   TimePoint answered_at;               // Last answer on any flow.
   std::uint32_t repeats = 0;           // Retransmissions since then.
   bool is_lost = false;                // Unreachable or dead.
-  bool is_lost_confirmed = false;      // See PlacementSettings.
 };
 
 class FlowPlacement {
@@ -126,11 +120,6 @@
   void OnClosed(std::uint64_t target);
 
   bool IsLost(std::uint64_t target) const;
-  // Must be called once a request to a lost target was retransmitted
-  // `retransmissions_until_reset` times. Returns false if the target has
-  // answered meanwhile.
-  bool ConfirmLost(std::uint64_t target);
-  bool IsLostConfirmed(std::uint64_t target) const;
   // All answers that arrived before `at` have been reported. Until this is
   // called, answers are assumed to be reported at once.
   void OnReadUntil(TimePoint at) { m_read_until = at; }
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -40,8 +40,6 @@
       return "unknown-cookie";
     case ForwardReason::kTargetEnded:
       return "target-ended";
-    case ForwardReason::kTargetLost:
-      return "target-lost";
     case ForwardReason::kNotReady:
       return "not-ready";
     case ForwardReason::kCount:
@@ -252,15 +250,6 @@
   }
   const ForwardReason reason = ReasonOf(packet);
   UpdateFlow(packet, announcement.number, now);
-  const auto flow = m_flows.find(packet.flow);
-  const bool should_reset = flow != m_flows.end() &&
-                            flow->second.is_retransmitting &&
-                            flow->second.may_retry &&
-                            m_placement.IsLostConfirmed(announcement.number);
-  if (should_reset) {
-    RemoveFlow(packet.flow);
-    return MakeReset(packet, ForwardReason::kTargetLost);
-  }
   return ForwardTo(*entry, packet.flow, reason);
 }
 
@@ -304,8 +293,6 @@
     }
     flow.target = target;
     flow.is_open = true;
-    flow.may_retry =
-        m_routes.Find(packet.flow.service)->kind != RequestKind::kNonIdempotent;
     flow.acknowledged = packet.acknowledged;
     if (is_new) flow.data_end = packet.sequence;
     flow.tried = {};
@@ -326,7 +313,6 @@
           {FlowStep::kAnswer, flow->target, now - flow->request_at});
     }
     flow->is_waiting = false;
-    flow->is_retransmitting = false;
   }
   if (packet.length == 0) return;
   const std::uint32_t end = packet.sequence + packet.length;
@@ -336,7 +322,6 @@
   flow->data_end = end;
   flow->request_at = now;
   flow->sent_round = m_progress.round();
-  flow->retransmissions = 0;
   if (!flow->is_waiting) m_placement.OnRequest(flow->target);
   flow->is_waiting = true;
 }
@@ -357,7 +342,6 @@
 std::vector<Forwarding> CookieBalancer::OnTick(TimePoint now) {
   std::vector<Forwarding> out;
   ResendOpeningPackets(now, &out);
-  GiveUpLostTargets(&out);
   return out;
 }
 
@@ -406,9 +390,7 @@
 std::optional<TimePoint> CookieBalancer::NextTick() const {
   std::optional<TimePoint> next;
   if (!m_retries.empty()) next = m_retries.front().at;
-  if (m_given_up.empty()) return next;
-  const TimePoint now = m_progress.read_until();
-  return next ? std::min(*next, now) : now;
+  return next;
 }
 
 bool CookieBalancer::HasValidLease(const TargetDirectory::Entry& entry) const {
@@ -460,7 +442,6 @@
     // requests would count as load here until the flow records expire.
     m_placement.OnRequestTimeout(flow.target, now);
     flow.is_waiting = false;
-    flow.is_retransmitting = false;
   }
   for (const FlowKey& key : expired) RemoveFlow(key);
 }
--- a/src/flow_placement.cc
+++ b/src/flow_placement.cc
@@ -221,7 +221,6 @@
   view->answered_at = now;
   view->repeats = 0;
   view->is_lost = false;
-  view->is_lost_confirmed = false;
 }
 
 bool FlowPlacement::OnRetransmission(std::uint64_t target, TimePoint sent_at,
@@ -243,18 +242,6 @@
   return found != m_views.end() && found->second.is_lost;
 }
 
-bool FlowPlacement::ConfirmLost(std::uint64_t target) {
-  const auto found = m_views.find(target);
-  if (found == m_views.end() || !found->second.is_lost) return false;
-  found->second.is_lost_confirmed = true;
-  return true;
-}
-
-bool FlowPlacement::IsLostConfirmed(std::uint64_t target) const {
-  const auto found = m_views.find(target);
-  return found != m_views.end() && found->second.is_lost_confirmed;
-}
-
 void FlowPlacement::OnClosed(std::uint64_t target) {
   DecrementIfPositive(&m_views[target].open);
 }
