A flow has one target: its opening packet goes to no second one

What callers saw: an open flow ends with a reset of a target that never held it, though its own target is sound. Cause: hypothesis 1. An opening packet that was not confirmed after 60 ms went to a second target, a copy that reached another balancer to a third. Callers return the cookie that they received last, so the later answer's cookie, repeated for seconds, led the packets of the open flow astray at each balancer without a record of it. With callers 35 ms away, or targets that wait for a processor, that is common. Hypothesis 2 besides: a balancer's record of an earlier flow with the same addresses overruled the cookie. Change: only the balancer that gets the first opening packet selects a target, and sends the copies there too. Other balancers drop copies: the first packet may have been placed elsewhere. The cookie alone decides afterwards. The timer, the second try and OnTick are gone. docs/design/platform.md weighs the ways. Why it works: no second target ever has the opening packet, so no cookie but that of the flow's target exists, whoever is late and by how much. No time is compared. What it costs: a caller whose first opening packet is lost before a balancer, or goes to a dead target, opens another flow after 1.4 s; before, the second target or the copy at 200 ms served it.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -10,12 +10,18 @@
 // drops packets with another number, so a packet cannot reach the wrong service
 // even if the balancer's directory is stale.
 //
-// FlowPlacement selects the target of the opening packet. If no answer is seen,
-// the packet is sent once more, to another target, before the caller itself
-// retransmits it; the flow opens at the target whose answer the caller accepts.
+// A flow has one target. Callers return the cookie that they received last, and
+// a target may answer an opening packet at any time. If two targets had got the
+// opening packet, the cookie of the one that answers later would lead the open
+// flow's packets to a target that does not hold it and resets it. So only the
+// balancer that gets the first opening packet of a flow selects a target, with
+// FlowPlacement. It sends the caller's copies to that target too, however long
+// the answer takes. Other balancers drop the copies that they get, because the
+// first packet may have been forwarded. The caller then opens another flow.
 //
-// The per-flow records (m_flows) are statistics only: the load of each target
-// and whether it answers. Losing them at any time does not break flows.
+// The per-flow records (m_flows) hold the target of flows that are opening, and
+// otherwise statistics only: the load of each target and whether it answers.
+// Losing them at any time does not break flows.
 //
 // A flow that may be open is reset only if its target has ended, by its own
 // announcement or that of a later process at its address, or if its route was
@@ -29,9 +35,8 @@
 // must not look like a failure of a target. Nor is it a failure that nothing
 // arrives.
 //
-//   Forwarding f = balancer.OnPacket(packet, datagram, now);
+//   Forwarding f = balancer.OnPacket(packet, now);
 //   balancer.OnDrained(read_at, sent_at);  // After the last pending packet.
-//   for (Forwarding& f : balancer.OnTick(now)) ...
 //
 // docs/design/platform.md compares this design with flow records. Performs no
 // I/O itself. Not thread-safe. A packet costs a few hash lookups; an opening
@@ -84,11 +89,12 @@
 
 // Why the action was chosen.
 enum class ForwardReason : std::uint8_t {
-  kPlaced,       // New flow, placed at a newly chosen target.
-  kPlacedAgain,  // Unanswered opening packet, sent to another target.
+  kPlaced,      // New flow, placed at a newly chosen target.
+  kPlacedCopy,  // Copy of an opening packet, sent to the same target.
   kByCookie,
   kTakenOver,      // By the cookie: the flow's first packet at this balancer.
-  kCookieChanged,  // The cookie names another target than the flow's record.
+  kCookieChanged,  // By the cookie, which is not that of the flow's record.
+  kUnplacedCopy,   // Copy of an opening packet that was not placed here.
   kNoRoute,        // The address has no route.
   kRouteRemoved,   // The address had a route that was removed.
   kNoTarget,       // The pool has no usable target.
@@ -108,9 +114,6 @@
   std::uint32_t cookie = 0;  // To write into the packet.
   // For kReset: a sequence number that the caller accepts.
   std::uint32_t reset_sequence = 0;
-  // The opening packet to send, if OnTick() returned this object; otherwise
-  // empty.
-  Bytes held;
 };
 
 // A change in the health state of a target, for logs.
@@ -192,9 +195,7 @@
   void SetRoutes(RouteTable routes);
   // Costs as much as what changes. Fails like RouteTable::Apply().
   Result<void> ApplyRouteChange(const RouteChange& change);
-  // Copies `datagram` if the packet opens a flow, so that it can be resent.
-  Forwarding OnPacket(const FlowPacket& packet, ByteView datagram,
-                      TimePoint now);
+  Forwarding OnPacket(const FlowPacket& packet, TimePoint now);
   // A read that began at `read_at` found no further packet. Everything read has
   // been passed to OnPacket(), and what was to be forwarded had been sent by
   // `sent_at`. Must also be called every 50 ms while no packets arrive.
@@ -202,11 +203,6 @@
   // This process or its kernel dropped packets. Those forwarded so far say
   // nothing about targets.
   void OnPacketsDropped() { m_progress.OnPacketsDropped(); }
-  // Returns opening packets to resend to another target now. Call at
-  // NextTick(), directly after the socket was found empty.
-  std::vector<Forwarding> OnTick(TimePoint now);
-  // When OnTick() must be called; empty if there is no need.
-  std::optional<TimePoint> NextTick() const;
   // Removes idle flow records, times out requests and reports health changes of
   // targets. Call every 250 ms.
   void Sweep(TimePoint now);
@@ -218,39 +214,30 @@
  private:
   struct Flow {
     std::uint64_t target = 0;
+    // The sequence number of the opening packet, if the flow was placed here.
+    std::optional<std::uint32_t> opening_sequence;
     bool is_open = false;
     bool is_waiting = false;  // A request has no answer yet.
     std::uint32_t acknowledged = 0;
     std::uint32_t data_end = 0;  // Sequence number after the last data byte.
-    // The round in which the opening packet was last placed or, later, in which
-    // the last copy of the request was forwarded that counts as evidence.
+    // The round in which the last copy of the request was forwarded that counts
+    // as evidence.
     std::uint64_t sent_round = 0;
     TimePoint opened_at;   // Arrival of the first opening packet.
     TimePoint request_at;  // Arrival of the latest new data.
     TimePoint seen_at;
-    std::vector<std::uint64_t> tried;  // Targets tried while opening.
-    Bytes opening_packet;              // Empty if it won't be resent.
   };
   struct HashFlowKey {
     std::size_t operator()(const FlowKey& key) const { return key.Hash(); }
   };
-  struct Retry {
-    TimePoint at;
-    FlowKey flow;
-    std::uint64_t target = 0;
-  };
 
   Forwarding ForwardWithoutRoute(const FlowPacket& packet) const;
-  Forwarding ForwardOpening(const FlowPacket& packet, ByteView datagram,
-                            TimePoint now);
+  Forwarding ForwardOpening(const FlowPacket& packet, TimePoint now);
+  Forwarding ForwardCopy(const FlowPacket& packet, Flow* flow, TimePoint now);
   Forwarding ForwardEstablished(const FlowPacket& packet, TimePoint now);
-  ForwardReason ReasonOf(const FlowPacket& packet) const;
-  const TargetDirectory::Entry* FindTarget(const FlowPacket& packet) const;
-  bool HadTimeToAnswer(const Flow& flow) const;
+  bool HasEnded(const TargetDirectory::Entry& entry) const;
   Forwarding ForwardTo(const TargetDirectory::Entry& entry, const FlowKey& key,
                        ForwardReason reason) const;
-  Forwarding PlaceFlow(const FlowKey& key, const Route& route, Flow* flow,
-                       ForwardReason reason, TimePoint now);
   Forwarding Drop(const FlowPacket& packet, ForwardReason reason) const;
   Forwarding MakeReset(const FlowPacket& packet, ForwardReason reason) const;
   const std::vector<PlacementTarget>& TargetsInPool(const std::string& pool,
@@ -258,15 +245,13 @@
   bool HasValidLease(const TargetDirectory::Entry& entry) const;
   void RebuildTargetLists(TimePoint now);
   void AddRemovedRoute(const Endpoint& address);
-  void UpdateFlow(const FlowPacket& packet, std::uint64_t target,
-                  TimePoint now);
+  ForwardReason UpdateFlow(const FlowPacket& packet, std::uint64_t target,
+                           TimePoint now);
+  void OpenFlow(const FlowPacket& packet, std::uint64_t target, bool is_new,
+                Flow* flow, TimePoint now);
   void UpdateRequestState(const FlowPacket& packet, Flow* flow, TimePoint now);
   void OnRetransmittedRequest(const FlowPacket& packet, Flow* flow,
                               TimePoint now);
-  void ResendOpeningPackets(TimePoint now, std::vector<Forwarding>* out);
-  void ResendOpeningPacket(const Retry& retry, TimePoint now,
-                           std::vector<Forwarding>* out);
-  void AddRetry(const Retry& retry);
   void ReportHealthChanges(TimePoint now);
   void ReportHealth(TargetHealthEvent health_event,
                     const TargetDirectory::Entry& entry, TimePoint now) const;
@@ -281,7 +266,6 @@
   std::unordered_set<Endpoint, EndpointHash> m_removed_routes;
   std::unordered_map<FlowKey, Flow, HashFlowKey> m_flows;
   ReadProgress m_progress;
-  std::vector<Retry> m_retries;      // Ordered by time.
   std::set<std::uint64_t> m_lost;    // Targets last reported as lost.
   std::set<std::uint64_t> m_silent;  // Targets last reported as silent.
   TimePoint m_health_reported_at;
--- a/include/sardinelead/flow_placement.h
+++ b/include/sardinelead/flow_placement.h
@@ -93,18 +93,17 @@
   explicit FlowPlacement(const PlacementSettings& settings)
       : m_settings(settings) {}
 
-  // Returns nothing if every target is in `excluded` or `targets` is empty.
-  // `balancers` is the number of balancers that share the data centre's flows.
+  // Returns nothing if `targets` is empty. `balancers` is the number of
+  // balancers that share the data centre's flows.
   std::optional<std::uint64_t> Choose(
-      const std::vector<PlacementTarget>& targets,
-      const std::vector<std::uint64_t>& excluded, std::size_t balancers,
+      const std::vector<PlacementTarget>& targets, std::size_t balancers,
       std::uint64_t random, TimePoint now);
 
   void OnOpening(std::uint64_t target, TimePoint now);
   // The flow opened at the target. `was_opening` is true if OnOpening() was
   // called for the flow and not canceled.
   void OnOpened(std::uint64_t target, bool was_opening, TimePoint now);
-  // The opening packet was sent to another target, or its caller gave up.
+  // The flow did not open, as far as this balancer knows.
   void OnOpeningCanceled(std::uint64_t target);
   void OnRequest(std::uint64_t target);
   // The target answered a request that was sent at `sent_at`.
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -22,8 +22,8 @@
   switch (reason) {
     case ForwardReason::kPlaced:
       return "placed";
-    case ForwardReason::kPlacedAgain:
-      return "placed-again";
+    case ForwardReason::kPlacedCopy:
+      return "placed-copy";
     case ForwardReason::kByCookie:
       return "by-cookie";
     case ForwardReason::kTakenOver:
@@ -36,6 +36,8 @@
       return "route-removed";
     case ForwardReason::kNoTarget:
       return "no-target";
+    case ForwardReason::kUnplacedCopy:
+      return "unplaced-copy";
     case ForwardReason::kUnknownCookie:
       return "unknown-cookie";
     case ForwardReason::kTargetEnded:
@@ -95,8 +97,7 @@
   m_removed_routes.insert(address);
 }
 
-Forwarding CookieBalancer::OnPacket(const FlowPacket& packet, ByteView datagram,
-                                    TimePoint now) {
+Forwarding CookieBalancer::OnPacket(const FlowPacket& packet, TimePoint now) {
   if (m_routes.version.value == 0) {
     Forwarding out;
     out.flow = packet.flow;
@@ -106,7 +107,7 @@
   if (m_routes.Find(packet.flow.service) == nullptr) {
     return ForwardWithoutRoute(packet);
   }
-  return packet.opens ? ForwardOpening(packet, datagram, now)
+  return packet.opens ? ForwardOpening(packet, now)
                       : ForwardEstablished(packet, now);
 }
 
@@ -146,75 +147,43 @@
 }
 
 Forwarding CookieBalancer::ForwardOpening(const FlowPacket& packet,
-                                          ByteView datagram, TimePoint now) {
+                                          TimePoint now) {
+  const auto found = m_flows.find(packet.flow);
+  const bool is_placed = found != m_flows.end() &&
+                         found->second.opening_sequence == packet.sequence;
+  if (is_placed) return ForwardCopy(packet, &found->second, now);
+  if (packet.is_copy) return Drop(packet, ForwardReason::kUnplacedCopy);
+  RemoveFlow(packet.flow);  // An earlier flow with the same addresses.
   const Route& route = *m_routes.Find(packet.flow.service);
-  auto found = m_flows.find(packet.flow);
-  if (found != m_flows.end() && found->second.is_open) {
-    RemoveFlow(packet.flow);
-    found = m_flows.end();
-  }
-  if (found == m_flows.end()) {
-    if (m_flows.size() >= m_settings.max_flows) Sweep(now);
-    found = m_flows.try_emplace(packet.flow).first;
-    found->second.opened_at = now;
+  const auto& targets =
+      TargetsInPool(route.SelectPool(packet.flow.Hash()), now);
+  const auto chosen =
+      m_placement.Choose(targets, m_hooks.balancers(), m_hooks.random(), now);
+  const TargetDirectory::Entry* entry =
+      chosen ? m_directory->Find(*chosen) : nullptr;
+  if (entry == nullptr) {
+    Forwarding out = MakeReset(packet, ForwardReason::kNoTarget);
+    if (m_hooks.is_gathering()) out.action = ForwardAction::kHold;
+    return out;
   }
-  Flow& flow = found->second;
+  if (m_flows.size() >= m_settings.max_flows) Sweep(now);
+  Flow& flow = m_flows[packet.flow];
+  flow.target = *chosen;
+  flow.opening_sequence = packet.sequence;
+  flow.opened_at = now;
   flow.seen_at = now;
   flow.data_end = packet.sequence;
-  const TargetDirectory::Entry* placed =
-      flow.tried.empty() ? nullptr : m_directory->Find(flow.target);
-  if (placed != nullptr && !HadTimeToAnswer(flow)) {
-    // This copy waited here behind the one before. Another target would answer
-    // it as well, and its cookie would replace that of the first.
-    return ForwardTo(*placed, packet.flow, ForwardReason::kPlaced);
-  }
-  flow.opening_packet.assign(datagram.begin(), datagram.end());
-  const ForwardReason reason =
-      flow.tried.empty() ? ForwardReason::kPlaced : ForwardReason::kPlacedAgain;
-  Forwarding out = PlaceFlow(packet.flow, route, &flow, reason, now);
-  if (out.action == ForwardAction::kForward) return out;
-  RemoveFlow(packet.flow);
-  if (m_hooks.is_gathering()) {
-    out.action = ForwardAction::kHold;
-    return out;
-  }
-  return MakeReset(packet, ForwardReason::kNoTarget);
-}
-
-Forwarding CookieBalancer::PlaceFlow(const FlowKey& key, const Route& route,
-                                     Flow* flow, ForwardReason reason,
-                                     TimePoint now) {
-  Forwarding out;
-  out.flow = key;
-  out.reason = ForwardReason::kNoTarget;
-  const auto& targets = TargetsInPool(route.SelectPool(key.Hash()), now);
-  auto chosen = m_placement.Choose(targets, flow->tried, m_hooks.balancers(),
-                                   m_hooks.random(), now);
-  if (!chosen && !flow->tried.empty()) {
-    // All targets were tried. Start over, since the answer of an earlier one
-    // may have been lost.
-    flow->tried.clear();
-    chosen = m_placement.Choose(targets, {}, m_hooks.balancers(),
-                                m_hooks.random(), now);
-  }
-  if (!chosen) return out;
-  const TargetDirectory::Entry* entry = m_directory->Find(*chosen);
-  if (entry == nullptr) return out;
-  if (flow->target != 0) m_placement.OnOpeningCanceled(flow->target);
-  flow->target = *chosen;
-  flow->sent_round = m_progress.round();
-  flow->tried.push_back(*chosen);
   m_placement.OnOpening(*chosen, now);
-  AddRetry({now + m_settings.placement.answer_deadline, key, *chosen});
-  return ForwardTo(*entry, key, reason);
+  return ForwardTo(*entry, packet.flow, ForwardReason::kPlaced);
 }
 
-// Whether the target of an opening flow had time to answer the opening packet.
-// If that was dropped here, it needs no more time.
-bool CookieBalancer::HadTimeToAnswer(const Flow& flow) const {
-  return !m_progress.IsReliable(flow.sent_round) ||
-         m_progress.ShortestAge(flow.sent_round) >=
-             m_settings.placement.answer_deadline;
+// Forwards an opening packet of a flow that was placed here before.
+Forwarding CookieBalancer::ForwardCopy(const FlowPacket& packet, Flow* flow,
+                                       TimePoint now) {
+  flow->seen_at = now;
+  const TargetDirectory::Entry* entry = m_directory->Find(flow->target);
+  if (entry == nullptr) return Drop(packet, ForwardReason::kUnplacedCopy);
+  return ForwardTo(*entry, packet.flow, ForwardReason::kPlacedCopy);
 }
 
 Forwarding CookieBalancer::ForwardTo(const TargetDirectory::Entry& entry,
@@ -230,75 +199,67 @@
   return out;
 }
 
+// An ended target is given some time to finish the requests in progress.
+bool CookieBalancer::HasEnded(const TargetDirectory::Entry& entry) const {
+  return entry.announcement.state == AnnouncedState::kEnded &&
+         m_hooks.covered_time() - entry.ended_at > m_settings.end_grace;
+}
+
 Forwarding CookieBalancer::ForwardEstablished(const FlowPacket& packet,
                                               TimePoint now) {
-  Forwarding out;
-  out.flow = packet.flow;
-  const TargetDirectory::Entry* entry = FindTarget(packet);
+  const TargetDirectory::Entry* entry =
+      packet.cookie == 0 ? nullptr : m_directory->FindByCookie(packet.cookie);
   if (entry == nullptr) {
-    out.reason = ForwardReason::kUnknownCookie;
+    Forwarding out = Drop(packet, ForwardReason::kUnknownCookie);
     if (packet.cookie != 0) out.action = ForwardAction::kHold;
     return out;
   }
-  const TargetAnnouncement& announcement = entry->announcement;
-  const bool has_ended =
-      announcement.state == AnnouncedState::kEnded &&
-      m_hooks.covered_time() - entry->ended_at > m_settings.end_grace;
-  if (has_ended && !packet.resets) {
+  if (HasEnded(*entry) && !packet.resets) {
     RemoveFlow(packet.flow);
     return MakeReset(packet, ForwardReason::kTargetEnded);
   }
-  const ForwardReason reason = ReasonOf(packet);
-  UpdateFlow(packet, announcement.number, now);
+  const ForwardReason reason =
+      UpdateFlow(packet, entry->announcement.number, now);
   return ForwardTo(*entry, packet.flow, reason);
 }
 
-ForwardReason CookieBalancer::ReasonOf(const FlowPacket& packet) const {
-  const auto flow = m_flows.find(packet.flow);
-  if (flow == m_flows.end()) return ForwardReason::kTakenOver;
-  const TargetDirectory::Entry* named =
-      m_directory->FindByCookie(packet.cookie);
-  const bool is_other =
-      named != nullptr && named->announcement.number != flow->second.target;
-  return is_other ? ForwardReason::kCookieChanged : ForwardReason::kByCookie;
-}
-
-// Returns the target for the packet's cookie. A flow that is known to be open
-// stays with its target, because a late answer of another target to the same
-// opening packet changes the cookie that the caller echoes.
-const TargetDirectory::Entry* CookieBalancer::FindTarget(
-    const FlowPacket& packet) const {
-  const auto flow = m_flows.find(packet.flow);
-  if (flow != m_flows.end() && flow->second.is_open) {
-    const auto* entry = m_directory->Find(flow->second.target);
-    if (entry != nullptr) return entry;
+// Returns how the flow's record compares with the target that the cookie names.
+ForwardReason CookieBalancer::UpdateFlow(const FlowPacket& packet,
+                                         std::uint64_t target, TimePoint now) {
+  ForwardReason reason = ForwardReason::kByCookie;
+  const auto recorded = m_flows.find(packet.flow);
+  if (recorded == m_flows.end()) {
+    reason = ForwardReason::kTakenOver;
+  } else if (recorded->second.target != target) {
+    // The caller uses the addresses again, for a flow that was placed
+    // elsewhere.
+    reason = ForwardReason::kCookieChanged;
+    RemoveFlow(packet.flow);
+  }
+  if (packet.finishes || packet.resets) {
+    RemoveFlow(packet.flow);
+    return reason;
   }
-  if (packet.cookie == 0) return nullptr;
-  return m_directory->FindByCookie(packet.cookie);
-}
-
-void CookieBalancer::UpdateFlow(const FlowPacket& packet, std::uint64_t target,
-                                TimePoint now) {
-  if (packet.finishes || packet.resets) return RemoveFlow(packet.flow);
   const auto [found, is_new] = m_flows.try_emplace(packet.flow);
   Flow& flow = found->second;
   flow.seen_at = now;
-  if (!flow.is_open) {
-    if (flow.target != 0 && flow.target != target) {
-      m_placement.OnOpeningCanceled(flow.target);
-    }
-    m_placement.OnOpened(target, flow.target == target, now);
-    if (!is_new) {
-      m_hooks.on_timing({FlowStep::kOpening, target, now - flow.opened_at});
-    }
-    flow.target = target;
-    flow.is_open = true;
-    flow.acknowledged = packet.acknowledged;
-    if (is_new) flow.data_end = packet.sequence;
-    flow.tried = {};
-    flow.opening_packet = {};
-  }
+  if (!flow.is_open) OpenFlow(packet, target, is_new, &flow, now);
   UpdateRequestState(packet, &flow, now);
+  return reason;
+}
+
+// Records that the flow has opened. `is_new`: it was placed elsewhere.
+void CookieBalancer::OpenFlow(const FlowPacket& packet, std::uint64_t target,
+                              bool is_new, Flow* flow, TimePoint now) {
+  m_placement.OnOpened(target, !is_new, now);
+  if (is_new) {
+    flow->target = target;
+    flow->data_end = packet.sequence;
+  } else {
+    m_hooks.on_timing({FlowStep::kOpening, target, now - flow->opened_at});
+  }
+  flow->is_open = true;
+  flow->acknowledged = packet.acknowledged;
 }
 
 void CookieBalancer::UpdateRequestState(const FlowPacket& packet, Flow* flow,
@@ -339,60 +300,6 @@
   m_flows.erase(found);
 }
 
-std::vector<Forwarding> CookieBalancer::OnTick(TimePoint now) {
-  std::vector<Forwarding> out;
-  ResendOpeningPackets(now, &out);
-  return out;
-}
-
-void CookieBalancer::AddRetry(const Retry& retry) {
-  const auto later = std::upper_bound(
-      m_retries.begin(), m_retries.end(), retry,
-      [](const Retry& a, const Retry& b) { return a.at < b.at; });
-  m_retries.insert(later, retry);
-}
-
-void CookieBalancer::ResendOpeningPackets(TimePoint now,
-                                          std::vector<Forwarding>* out) {
-  const auto later = std::find_if(m_retries.begin(), m_retries.end(),
-                                  [&](const Retry& r) { return r.at > now; });
-  const std::vector<Retry> due(m_retries.begin(), later);
-  m_retries.erase(m_retries.begin(), later);
-  for (const Retry& retry : due) ResendOpeningPacket(retry, now, out);
-}
-
-void CookieBalancer::ResendOpeningPacket(const Retry& retry, TimePoint now,
-                                         std::vector<Forwarding>* out) {
-  const auto found = m_flows.find(retry.flow);
-  const bool is_waiting = found != m_flows.end() && !found->second.is_open &&
-                          found->second.target == retry.target &&
-                          found->second.tried.size() == 1 &&
-                          !found->second.opening_packet.empty();
-  const Route* route = m_routes.Find(retry.flow.service);
-  if (!is_waiting || route == nullptr) return;
-  Flow& flow = found->second;
-  if (!HadTimeToAnswer(flow)) {
-    // This process was late. The answer may still arrive in time.
-    Retry again = retry;
-    again.at = now + m_settings.placement.answer_deadline -
-               m_progress.ShortestAge(flow.sent_round);
-    AddRetry(again);
-    return;
-  }
-  Forwarding again =
-      PlaceFlow(retry.flow, *route, &flow, ForwardReason::kPlacedAgain, now);
-  if (again.action != ForwardAction::kForward) return;
-  again.held = std::move(flow.opening_packet);
-  flow.opening_packet = {};
-  out->push_back(std::move(again));
-}
-
-std::optional<TimePoint> CookieBalancer::NextTick() const {
-  std::optional<TimePoint> next;
-  if (!m_retries.empty()) next = m_retries.front().at;
-  return next;
-}
-
 bool CookieBalancer::HasValidLease(const TargetDirectory::Entry& entry) const {
   return m_hooks.covered_time() - entry.heard_at <= m_settings.lease;
 }
--- a/src/flow_placement.cc
+++ b/src/flow_placement.cc
@@ -17,10 +17,6 @@
 constexpr double kMaxSpillShare = 0.5;  // Fraction of new flows.
 constexpr std::uint64_t kSampleSteps = 1000;
 
-bool Contains(const std::vector<std::uint64_t>& list, std::uint64_t number) {
-  return std::find(list.begin(), list.end(), number) != list.end();
-}
-
 // Decays a moving average with time constant `memory` over `age`.
 double Decayed(double value, Duration age, Duration memory) {
   return value * std::exp(-std::chrono::duration<double>(age) /
@@ -58,8 +54,7 @@
 }  // namespace
 
 std::optional<std::uint64_t> FlowPlacement::Choose(
-    const std::vector<PlacementTarget>& targets,
-    const std::vector<std::uint64_t>& excluded, std::size_t balancers,
+    const std::vector<PlacementTarget>& targets, std::size_t balancers,
     std::uint64_t random, TimePoint now) {
   BestTarget local(random);
   BestTarget remote(random);
@@ -68,7 +63,6 @@
   double local_waiting = 0;
   double local_slots = 0;
   for (const PlacementTarget& target : targets) {
-    if (Contains(excluded, target.number)) continue;
     TargetStats& view = m_views[target.number];
     if (IsSuspect(target.number, now)) {
       if (IsProbeDue(target, view, now)) {
