Flows of a target whose address another process has are reset at once

Cause: flows of a dead target are no longer reset for its silence, so their callers wait for their deadlines. Where another process announces itself at the target's address, the target is known to be gone, yet packets of its flows were forwarded for 1.5 s more, a grace for targets that announce their own end. Change: no grace in this case, and flows that this balancer saw open are reset when their target is found to have ended, not only at their next packet, so that an idle caller's next request goes to a living target. A target that announced its end keeps its grace.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -156,8 +156,9 @@
   PlacementSettings placement;
   // A target without a heartbeat for this long takes no new flows.
   Duration lease = std::chrono::milliseconds(3500);
-  // Flows of an ended target are reset after this delay, which lets the target
-  // finish requests in progress.
+  // Flows of a target that announced its end are reset after this delay, which
+  // lets it finish requests in progress. Those of a target whose address
+  // another process has are reset at once.
   Duration end_grace = std::chrono::milliseconds(1500);
   // A request with neither an answer nor a retransmission for this long is
   // assumed to have moved to another balancer or to have been abandoned. Must
@@ -204,8 +205,9 @@
   // nothing about targets.
   void OnPacketsDropped() { m_progress.OnPacketsDropped(); }
   // Removes idle flow records, times out requests and reports health changes of
-  // targets. Call every 250 ms.
-  void Sweep(TimePoint now);
+  // targets. Returns the resets of the flows of targets that have ended. Call
+  // every 250 ms.
+  std::vector<Forwarding> Sweep(TimePoint now);
 
   std::size_t flow_count() const { return m_flows.size(); }       // NOLINT
   const FlowPlacement& placement() const { return m_placement; }  // NOLINT
@@ -252,6 +254,8 @@
   void UpdateRequestState(const FlowPacket& packet, Flow* flow, TimePoint now);
   void OnRetransmittedRequest(const FlowPacket& packet, Flow* flow,
                               TimePoint now);
+  void ExpireFlows(TimePoint now);
+  std::vector<Forwarding> ResetFlowsOfEndedTargets();
   void ReportHealthChanges(TimePoint now);
   void ReportHealth(TargetHealthEvent health_event,
                     const TargetDirectory::Entry& entry, TimePoint now) const;
@@ -268,6 +272,7 @@
   ReadProgress m_progress;
   std::set<std::uint64_t> m_lost;    // Targets last reported as lost.
   std::set<std::uint64_t> m_silent;  // Targets last reported as silent.
+  std::set<std::uint64_t> m_ended;   // Targets whose flows were reset.
   TimePoint m_health_reported_at;
   // Targets that may take new flows, by pool; rebuilt periodically.
   std::unordered_map<std::string, std::vector<PlacementTarget>> m_targets;
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -166,7 +166,7 @@
     if (m_hooks.is_gathering()) out.action = ForwardAction::kHold;
     return out;
   }
-  if (m_flows.size() >= m_settings.max_flows) Sweep(now);
+  if (m_flows.size() >= m_settings.max_flows) ExpireFlows(now);
   Flow& flow = m_flows[packet.flow];
   flow.target = *chosen;
   flow.opening_sequence = packet.sequence;
@@ -199,9 +199,9 @@
   return out;
 }
 
-// An ended target is given some time to finish the requests in progress.
 bool CookieBalancer::HasEnded(const TargetDirectory::Entry& entry) const {
-  return entry.announcement.state == AnnouncedState::kEnded &&
+  if (entry.announcement.state != AnnouncedState::kEnded) return false;
+  return m_directory->HasSuccessor(entry) ||
          m_hooks.covered_time() - entry.ended_at > m_settings.end_grace;
 }
 
@@ -336,8 +336,38 @@
   return m_targets[pool];
 }
 
-void CookieBalancer::Sweep(TimePoint now) {
+std::vector<Forwarding> CookieBalancer::Sweep(TimePoint now) {
   if (now - m_health_reported_at >= kReportInterval) ReportHealthChanges(now);
+  ExpireFlows(now);
+  return ResetFlowsOfEndedTargets();
+}
+
+// Lets callers of an ended target open another flow before their next request.
+std::vector<Forwarding> CookieBalancer::ResetFlowsOfEndedTargets() {
+  std::set<std::uint64_t> newly_ended;
+  for (const auto& [number, entry] : m_directory->entries()) {
+    if (!HasEnded(entry)) {
+      m_ended.erase(number);
+    } else if (m_ended.insert(number).second) {
+      newly_ended.insert(number);
+    }
+  }
+  std::vector<Forwarding> out;
+  if (newly_ended.empty()) return out;
+  for (const auto& [key, flow] : m_flows) {
+    if (!flow.is_open || newly_ended.count(flow.target) == 0) continue;
+    Forwarding reset;
+    reset.action = ForwardAction::kReset;
+    reset.reason = ForwardReason::kTargetEnded;
+    reset.flow = key;
+    reset.reset_sequence = flow.acknowledged;
+    out.push_back(reset);
+  }
+  for (const Forwarding& reset : out) RemoveFlow(reset.flow);
+  return out;
+}
+
+void CookieBalancer::ExpireFlows(TimePoint now) {
   std::vector<FlowKey> expired;
   for (auto& [key, flow] : m_flows) {
     // A packet of the flow may still wait to be read.
--- a/src/target_directory.cc
+++ b/src/target_directory.cc
@@ -175,6 +175,17 @@
   return found == m_entries.end() ? nullptr : &found->second;
 }
 
+bool TargetDirectory::HasSuccessor(const Entry& entry) const {
+  const auto [begin, end] =
+      m_by_address.equal_range(entry.announcement.address);
+  for (auto it = begin; it != end; ++it) {
+    const TargetAnnouncement& other = m_entries.at(it->second).announcement;
+    const bool is_later = other.started_ms > entry.announcement.started_ms;
+    if (is_later && IsConfigured(other)) return true;
+  }
+  return false;
+}
+
 const TargetDirectory::Entry* TargetDirectory::FindByCookie(
     std::uint32_t cookie) const {
   const Entry* best = nullptr;
