Packets after a flow's end are not taken for another open flow

Cause: a balancer forgot a flow when its caller ended it. The caller's last acknowledgements then looked like a flow that the routers had moved here: a line flow-taken-over, and a record that counted as an open flow of the target for 20 s. Change: the record of an ended flow stays until it expires, without load. The set of ended targets whose flows were reset keeps only what the directory has. Measured: CookieBalancerTest.PacketsAfterTheEndOpenNoFlow fails before (21 passed, 1 failed); after, with the tests of loss, ownership and stalls, 40 passed, 0 failed.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -219,6 +219,7 @@
     // The sequence number of the opening packet, if the flow was placed here.
     std::optional<std::uint32_t> opening_sequence;
     bool is_open = false;
+    bool is_closed = false;   // The caller has sent its last data.
     bool is_waiting = false;  // A request has no answer yet.
     std::uint32_t acknowledged = 0;
     std::uint32_t data_end = 0;  // Sequence number after the last data byte.
@@ -259,6 +260,7 @@
   void ReportHealthChanges(TimePoint now);
   void ReportHealth(TargetHealthEvent health_event,
                     const TargetDirectory::Entry& entry, TimePoint now) const;
+  void CloseFlow(const FlowKey& key, std::uint64_t target, TimePoint now);
   void RemoveFlow(const FlowKey& key);
 
   CookieBalancerSettings m_settings;
@@ -272,7 +274,7 @@
   ReadProgress m_progress;
   std::set<std::uint64_t> m_lost;    // Targets last reported as lost.
   std::set<std::uint64_t> m_silent;  // Targets last reported as silent.
-  std::set<std::uint64_t> m_ended;   // Targets whose flows were reset.
+  std::set<std::uint64_t> m_ended;   // Ended targets whose flows were reset.
   TimePoint m_health_reported_at;
   // Targets that may take new flows, by pool; rebuilt periodically.
   std::unordered_map<std::string, std::vector<PlacementTarget>> m_targets;
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -182,7 +182,9 @@
                                        TimePoint now) {
   flow->seen_at = now;
   const TargetDirectory::Entry* entry = m_directory->Find(flow->target);
-  if (entry == nullptr) return Drop(packet, ForwardReason::kUnplacedCopy);
+  if (entry == nullptr || flow->is_closed) {
+    return Drop(packet, ForwardReason::kUnplacedCopy);
+  }
   return ForwardTo(*entry, packet.flow, ForwardReason::kPlacedCopy);
 }
 
@@ -236,13 +238,18 @@
     reason = ForwardReason::kCookieChanged;
     RemoveFlow(packet.flow);
   }
-  if (packet.finishes || packet.resets) {
+  if (packet.resets) {
     RemoveFlow(packet.flow);
     return reason;
   }
+  if (packet.finishes) {
+    CloseFlow(packet.flow, target, now);
+    return reason;
+  }
   const auto [found, is_new] = m_flows.try_emplace(packet.flow);
   Flow& flow = found->second;
   flow.seen_at = now;
+  if (flow.is_closed) return reason;
   if (!flow.is_open) OpenFlow(packet, target, is_new, &flow, now);
   UpdateRequestState(packet, &flow, now);
   return reason;
@@ -287,10 +294,30 @@
   flow->is_waiting = true;
 }
 
+// Keeps the record until it expires: the caller still acknowledges what the
+// target sends, which must not look like another open flow.
+void CookieBalancer::CloseFlow(const FlowKey& key, std::uint64_t target,
+                               TimePoint now) {
+  const auto found = m_flows.find(key);
+  Flow closed;
+  if (found != m_flows.end()) {
+    closed.opening_sequence = found->second.opening_sequence;
+  }
+  RemoveFlow(key);
+  closed.target = target;
+  closed.is_closed = true;
+  closed.seen_at = now;
+  m_flows.emplace(key, closed);
+}
+
 void CookieBalancer::RemoveFlow(const FlowKey& key) {
   const auto found = m_flows.find(key);
   if (found == m_flows.end()) return;
   const Flow& flow = found->second;
+  if (flow.is_closed) {
+    m_flows.erase(found);
+    return;
+  }
   if (flow.is_waiting) m_placement.OnRequestEnded(flow.target);
   if (flow.is_open) {
     m_placement.OnClosed(flow.target);
@@ -344,14 +371,14 @@
 
 // Lets callers of an ended target open another flow before their next request.
 std::vector<Forwarding> CookieBalancer::ResetFlowsOfEndedTargets() {
+  std::set<std::uint64_t> ended;
   std::set<std::uint64_t> newly_ended;
   for (const auto& [number, entry] : m_directory->entries()) {
-    if (!HasEnded(entry)) {
-      m_ended.erase(number);
-    } else if (m_ended.insert(number).second) {
-      newly_ended.insert(number);
-    }
+    if (!HasEnded(entry)) continue;
+    ended.insert(number);
+    if (m_ended.count(number) == 0) newly_ended.insert(number);
   }
+  m_ended = std::move(ended);
   std::vector<Forwarding> out;
   if (newly_ended.empty()) return out;
   for (const auto& [key, flow] : m_flows) {
--- a/tests/cookie_balancer_test.cc
+++ b/tests/cookie_balancer_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(UnknownCookieIsHeldNotReset);
   CPPUNIT_TEST(CopiesOfAnOpeningPacketGoToItsTarget);
   CPPUNIT_TEST(CopiesAreNotPlacedByOtherBalancers);
+  CPPUNIT_TEST(PacketsAfterTheEndOpenNoFlow);
   CPPUNIT_TEST(PortThatIsUsedAgainFollowsTheNewCookie);
   CPPUNIT_TEST(DrainingAndSilentTargetsTakeNoNewFlows);
   CPPUNIT_TEST(SilentTargetsAreUsedWhereThereAreNoOthers);
@@ -110,6 +111,23 @@
                    ForwardAction::kDrop);
   }
 
+  // The caller acknowledges the target's last packets after its own end.
+  void PacketsAfterTheEndOpenNoFlow() {
+    OpenAt(1, kService, 1);
+    FlowPacket end = Data(1, CookieOf(1), 0);
+    end.finishes = true;
+    m_balancer.OnPacket(end, m_now);
+    CPPUNIT_ASSERT_EQUAL(0U, m_balancer.placement().Find(1)->open);
+    const Forwarding last = m_balancer.OnPacket(Data(1, CookieOf(1), 0), m_now);
+    CPPUNIT_ASSERT(last.action == ForwardAction::kForward);
+    CPPUNIT_ASSERT(last.reason == ForwardReason::kByCookie);
+    CPPUNIT_ASSERT_EQUAL(0U, m_balancer.placement().Find(1)->open);
+    DrainAt(m_now + 21 * kSecond);
+    m_balancer.Sweep(m_now + 21 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_balancer.flow_count());
+    CPPUNIT_ASSERT_EQUAL(0U, m_balancer.placement().Find(1)->open);
+  }
+
   // Guards against packets that follow the record of an earlier flow with the
   // same addresses to a target that does not hold the new one (issue 38).
   void PortThatIsUsedAgainFollowsTheNewCookie() {
