A late deregistration ends no later process with the same id

What callers would see: all flows of a living target are reset. The platform's deregistrations have no body, so no start time, and ended whatever process was last heard under the id. One that is handled late, as by a control VM that was paused, ended the process that had started again under the id, for good: its later heartbeats were ignored. Found by reading, not seen in a run. Change: a deregistration without a start time ends a process only if that has announced that it drains, as each does before it deregisters. One that has not is kept from new flows until its next heartbeat. AnnouncementAfter() decides, in platform/target_codec.

--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -80,6 +80,7 @@
   CPPUNIT_TEST(DeeplyNestedTextIsRefused);
   CPPUNIT_TEST(ReadsTargetIds);
   CPPUNIT_TEST(ReadsDeregistrations);
+  CPPUNIT_TEST(LateDeregistrationEndsNoLaterProcess);
   CPPUNIT_TEST(ReadsConfigurations);
   CPPUNIT_TEST(ConfigurationErrorsNameTheKey);
   CPPUNIT_TEST(RejectsTruncatedText);
@@ -311,6 +312,35 @@
     CPPUNIT_ASSERT(!DecodeDeregistration("i-1", "{"));
   }
 
+  // Guards against the end, and with it the reset of all flows, of a process
+  // that serves, when the deregistration of an earlier one with its id comes
+  // late.
+  void LateDeregistrationEndsNoLaterProcess() {
+    TargetAnnouncement known;
+    known.number = 1;
+    known.started_ms = 50;
+    known.pool = "orders";
+    known.address = *Endpoint::Parse("10.0.0.1:80");
+    known.sequence = 7;
+    const auto after = [&known](const char* body) {
+      return AnnouncementAfter(*DecodeDeregistration("i-1", body), known);
+    };
+    CPPUNIT_ASSERT(!after(R"({"born":40})").has_value());
+    CPPUNIT_ASSERT(after(R"({"born":50})")->state == AnnouncedState::kEnded);
+    CPPUNIT_ASSERT(after("")->state == AnnouncedState::kDraining);
+    // The next heartbeat shows that the process lives.
+    TargetDirectory directory;
+    directory.SetPools({"orders"}, TimePoint{});
+    directory.Take(*after(""), TimePoint{});
+    ++known.sequence;
+    directory.Take(known, TimePoint{});
+    CPPUNIT_ASSERT(directory.Find(1)->announcement.state ==
+                   AnnouncedState::kReady);
+    // A process drains before it deregisters.
+    known.state = AnnouncedState::kDraining;
+    CPPUNIT_ASSERT(after("")->state == AnnouncedState::kEnded);
+  }
+
   void ReadsConfigurations() {
     const auto table = DecodeConfig(MakeConfig().dump());
     CPPUNIT_ASSERT(table.has_value());
