--- a/tests/balancer_stall_test.cc
+++ b/tests/balancer_stall_test.cc
@@ -12,6 +12,7 @@
 
 #include "quick.h"
 #include "sardinelead/cookie_balancer.h"
+#include "single_route.h"
 
 namespace sardinelead {
 namespace {
@@ -56,16 +57,9 @@
  public:
   StallWorld(const World& world, const Stall& stall)
       : m_world(world), m_stall(stall), m_balancer(MakeBalancer()) {
-    RouteTable table;
-    table.version = ConfigVersion{1};
-    table.pools = {{"orders", "/health", 0}};
-    Route route;
-    route.address = kService;
-    route.pools = {{"orders", 1}};
-    table.routes.push_back(route);
-    table.BuildIndex();
+    const RouteTable table = MakeSingleRoute(kService);
     m_directory.SetPools(table.PoolNames(), m_now);
-    m_balancer.SetRoutes(std::move(table));
+    m_balancer.SetRoutes(table);
     TargetAnnouncement announcement;
     announcement.number = kTarget;
     announcement.pool = "orders";
--- a/tests/flow_ownership_test.cc
+++ b/tests/flow_ownership_test.cc
@@ -16,6 +16,7 @@
 
 #include "quick.h"
 #include "sardinelead/cookie_balancer.h"
+#include "single_route.h"
 
 namespace sardinelead {
 namespace {
@@ -49,14 +50,7 @@
  public:
   explicit FlowWorld(const Scenario& scenario)
       : m_scenario(scenario), m_random(scenario.seed) {
-    RouteTable table;
-    table.version = ConfigVersion{1};
-    table.pools = {{"orders", "/health", 0}};
-    Route route;
-    route.address = kService;
-    route.pools = {{"orders", 1}};
-    table.routes.push_back(route);
-    table.BuildIndex();
+    const RouteTable table = MakeSingleRoute(kService);
     m_directory.SetPools(table.PoolNames(), m_now);
     for (std::uint64_t number = 1; number <= kTargets; ++number) {
       AnnounceTarget(number);
