Soak: a target's address is free before another one gets it

Traced: when all faults end, the soak ran the scheduled start of a successor early, while the target at the address still drained; two processes had one address for 4 s, which the platform rules out. The balancer was right to take the earlier one for ended. A target that crashes during a pause sends nothing afterwards. HasEnded(), which nothing called, is gone.

--- a/soak/actors.cc
+++ b/soak/actors.cc
@@ -144,6 +144,7 @@
                              SteadyNow());
   }
   PauseAtTimes();
+  if (m_is_down) return;
   Packet reply;
   reply.source = packet.destination;
   reply.destination = packet.source;
@@ -243,7 +244,6 @@
   if (!m_is_down) PostInstance("/deregister", "draining");
   m_state->ledger.OnTargetDown(m_number);
   m_is_down = true;
-  m_has_ended = true;
 }
 
 }  // namespace sardinelead::soak
--- a/soak/actors.h
+++ b/soak/actors.h
@@ -72,7 +72,7 @@
 
   void Crash();  // Stops without deregistering.
   void Leave();  // Drains, then deregisters.
-  bool HasEnded() const { return m_has_ended; }
+  bool IsRunning() const { return !m_is_down; }
   const Endpoint& address() const { return m_address; }  // NOLINT
   std::uint64_t number() const { return m_number; }      // NOLINT
 
@@ -111,7 +111,6 @@
   std::size_t m_control = 0;
   std::atomic<bool> m_is_down{false};
   std::atomic<bool> m_is_leaving{false};
-  std::atomic<bool> m_has_ended{false};
   std::map<std::pair<Endpoint, Endpoint>, Flow> m_flows;
   std::thread m_server;
   std::thread m_announcer;
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -75,7 +75,10 @@
   void AddProcess(std::uint32_t node, bool is_control);
   void Launch(Process* process);
   void WriteSettings(const Process& process, bool is_first);
+  Endpoint AddressOfTarget(std::size_t place) const;
   void AddTarget(std::size_t place);
+  // Adds a target once no other process has its address.
+  void AddSuccessor(std::size_t place);
   Process* PickProcess(bool is_control);
   Duration RandomSpan(int from_ms, int to_ms);
   void Schedule(Duration delay, std::function<void()> action);
