An announced end resets no flow

What callers would see: an open flow is reset although its target still serves it. Cause: the flows of a target that had deregistered were reset 1.5 s later. It may take longer to exit, when it gets no processor or no acknowledgement, and it may have started again under its id, which a balancer whose feed lags or that has just started learns after others have opened flows there. Change: HasEnded() asks for a successor at the target's address; end_grace is gone. Packets of other ended targets go on to their address under their number, which only the process that they are for takes. Closed flows are not remembered at the limit of records.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -19,14 +19,14 @@
 // the answer takes. Other balancers drop the copies that they get, because the
 // first packet may have been forwarded. The caller then opens another flow.
 //
-// The per-flow records (m_flows) hold the target of flows that are opening, and
-// otherwise statistics only: the load of each target and whether it answers.
-// Losing them at any time does not break flows.
+// The per-flow records (m_flows) hold the target of flows that are opening and
+// what tells the load of each target and whether it answers. Losing them at any
+// time leads no packet elsewhere and resets no flow.
 //
-// A flow that may be open is reset only if its target has ended, by its own
-// announcement or that of a later process at its address, or if its route was
-// removed after it was seen here. No flow is reset because of how soon a target
-// answers: a target that is slow or paused looks like one that is gone.
+// A flow that may be open is reset only if another process has its target's
+// address, or if its route was removed after it was seen here. No flow is reset
+// because of how soon a target answers or ends: one that is slow or paused
+// looks like one that is gone, and one that announced its end may still serve.
 //
 // A target whose callers retransmit requests gets no new flows while it answers
 // none. Answers do not pass through the balancer, so retransmissions are the
@@ -94,12 +94,13 @@
   kByCookie,
   kTakenOver,      // By the cookie: the flow's first packet at this balancer.
   kCookieChanged,  // By the cookie, which is not that of the flow's record.
-  kUnplacedCopy,   // Copy of an opening packet that was not placed here.
-  kNoRoute,        // The address has no route.
-  kRouteRemoved,   // The address had a route that was removed.
-  kNoTarget,       // The pool has no usable target.
+  kUnplacedCopy,  // Copy of an opening packet that was not placed here, or of a
+                  // flow that has closed.
+  kNoRoute,       // The address has no route.
+  kRouteRemoved,  // The address had a route that was removed.
+  kNoTarget,      // The pool has no usable target.
   kUnknownCookie,  // No known target has this cookie.
-  kTargetEnded,    // The flow's target has ended.
+  kTargetEnded,    // Another process has the address of the flow's target.
   kNotReady,       // No route table received yet.
   kCount,
 };
@@ -156,10 +157,6 @@
   PlacementSettings placement;
   // A target without a heartbeat for this long takes no new flows.
   Duration lease = std::chrono::milliseconds(3500);
-  // Flows of a target that announced its end are reset after this delay, which
-  // lets it finish requests in progress. Those of a target whose address
-  // another process has are reset at once.
-  Duration end_grace = std::chrono::milliseconds(1500);
   // A request with neither an answer nor a retransmission for this long is
   // assumed to have moved to another balancer or to have been abandoned. Must
   // exceed the delay of full queues.
@@ -205,8 +202,8 @@
   // nothing about targets.
   void OnPacketsDropped() { m_progress.OnPacketsDropped(); }
   // Removes idle flow records, times out requests and reports health changes of
-  // targets. Returns the resets of the flows of targets that have ended. Call
-  // every 250 ms.
+  // targets. Returns the resets of the flows of targets whose address another
+  // process has. Call every 250 ms.
   std::vector<Forwarding> Sweep(TimePoint now);
 
   std::size_t flow_count() const { return m_flows.size(); }       // NOLINT
@@ -250,8 +247,8 @@
   void AddRemovedRoute(const Endpoint& address);
   ForwardReason UpdateFlow(const FlowPacket& packet, std::uint64_t target,
                            TimePoint now);
-  void OpenFlow(const FlowPacket& packet, std::uint64_t target, bool is_new,
-                Flow* flow, TimePoint now);
+  void OpenFlow(const FlowPacket& packet, std::uint64_t target,
+                bool is_placed_here, Flow* flow, TimePoint now);
   void UpdateRequestState(const FlowPacket& packet, Flow* flow, TimePoint now);
   void OnRetransmittedRequest(const FlowPacket& packet, Flow* flow,
                               TimePoint now);
--- a/soak/actors.cc
+++ b/soak/actors.cc
@@ -216,9 +216,9 @@
                 static_cast<unsigned long long>(m_number));  // NOLINT
   const std::uint32_t control =
       m_state->controls[m_control % m_state->controls.size()];
-  const auto answer =
-      CallControl(control, HttpMethod::kPost,
-                  std::string("/instances/") + id + call, body.dump());
+  const auto answer = CallControl(
+      control, HttpMethod::kPost, std::string("/instances/") + id + call,
+      call == std::string("/deregister") ? "" : body.dump());
   const bool is_done = answer && answer->status == 200;
   if (!is_done) ++m_control;
   if (is_done && state == std::string("draining")) {
--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -220,7 +220,9 @@
       if (!is_open && must_serve && !world->is_over) {
         world->ledger.OnFailed(request);
       }
-      is_open = is_open && flow.Idle(milliseconds(random() % 400));
+      if (!is_open) break;
+      is_open = flow.Idle(milliseconds(random() % 400));
+      if (!is_open && must_serve && !world->is_over) world->ledger.OnFailed(0);
     }
     if (is_open) flow.Finish();
     Sleep(milliseconds(20 + random() % 50));
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -201,10 +201,12 @@
   return out;
 }
 
+// Whether the target's process is gone for certain. One that has announced its
+// end may take any time to exit, and one that has started again under its
+// number may not be known here yet.
 bool CookieBalancer::HasEnded(const TargetDirectory::Entry& entry) const {
-  if (entry.announcement.state != AnnouncedState::kEnded) return false;
-  return m_directory->HasSuccessor(entry) ||
-         m_hooks.covered_time() - entry.ended_at > m_settings.end_grace;
+  return entry.announcement.state == AnnouncedState::kEnded &&
+         m_directory->HasSuccessor(entry);
 }
 
 Forwarding CookieBalancer::ForwardEstablished(const FlowPacket& packet,
@@ -250,20 +252,19 @@
   Flow& flow = found->second;
   flow.seen_at = now;
   if (flow.is_closed) return reason;
-  if (!flow.is_open) OpenFlow(packet, target, is_new, &flow, now);
+  if (!flow.is_open) OpenFlow(packet, target, !is_new, &flow, now);
   UpdateRequestState(packet, &flow, now);
   return reason;
 }
 
-// Records that the flow has opened. `is_new`: it was placed elsewhere.
 void CookieBalancer::OpenFlow(const FlowPacket& packet, std::uint64_t target,
-                              bool is_new, Flow* flow, TimePoint now) {
-  m_placement.OnOpened(target, !is_new, now);
-  if (is_new) {
+                              bool is_placed_here, Flow* flow, TimePoint now) {
+  m_placement.OnOpened(target, is_placed_here, now);
+  if (is_placed_here) {
+    m_hooks.on_timing({FlowStep::kOpening, target, now - flow->opened_at});
+  } else {
     flow->target = target;
     flow->data_end = packet.sequence;
-  } else {
-    m_hooks.on_timing({FlowStep::kOpening, target, now - flow->opened_at});
   }
   flow->is_open = true;
   flow->acknowledged = packet.acknowledged;
@@ -304,6 +305,7 @@
     closed.opening_sequence = found->second.opening_sequence;
   }
   RemoveFlow(key);
+  if (m_flows.size() >= m_settings.max_flows) return;
   closed.target = target;
   closed.is_closed = true;
   closed.seen_at = now;
--- a/tests/balancer_stall_test.cc
+++ b/tests/balancer_stall_test.cc
@@ -26,6 +26,7 @@
 // How often the balancer reads its socket while it does not stall.
 constexpr Duration kReadInterval = milliseconds(5);
 constexpr Duration kRequestInterval = milliseconds(230);
+constexpr Duration kSweepInterval = milliseconds(250);
 constexpr std::uint16_t kRequestBytes = 300;
 constexpr std::uint16_t kAnswerBytes = 600;
 
@@ -35,6 +36,7 @@
   kBeforeProcessing,
   kBeforeSending,
   kBeforeReport,
+  kBeforeSweep,
   kCount,
 };
 
@@ -49,6 +51,7 @@
 struct World {
   std::size_t buffer_packets = 1000;  // Capacity of the balancer's socket.
   Duration target_ends{0};            // When the target crashes; 0 for never.
+  bool is_swept = true;  // Whether the balancer times out requests.
 };
 
 // Two callers that send requests and one with an idle flow, a target that
@@ -234,6 +237,10 @@
     const TimePoint sent_at = m_now;
     Reach(StallPoint::kBeforeReport);
     m_balancer.OnDrained(read_at, sent_at);
+    if (!m_world.is_swept || m_now - m_swept_at < kSweepInterval) return;
+    Reach(StallPoint::kBeforeSweep);
+    m_swept_at = m_now;
+    for (const Forwarding& reset : m_balancer.Sweep(m_now)) Apply(reset, 0, 0);
   }
 
   void Apply(const Forwarding& out, std::uint32_t sequence,
@@ -253,6 +260,7 @@
   const World m_world;
   Stall m_stall;
   TimePoint m_now = kStart;
+  TimePoint m_swept_at = kStart;
   std::multimap<TimePoint, std::function<void()>> m_events;
   std::map<std::uint16_t, Caller> m_callers;
   std::deque<Arrival> m_socket;  // Arrived and not read yet.
@@ -307,10 +315,13 @@
 
   // A stall must not hide a failure either: the target gets no new flows at the
   // latest when the caller has sent the copy after the next one. Its flows are
-  // not reset, since a target that is paused looks the same (issue 38).
+  // not reset, since a target that is paused looks the same (issue 38). Without
+  // timeouts: a stall beyond CookieBalancerSettings::request_timeout ends the
+  // requests before it, and only later ones tell.
   void DeadTargetIsLostDespiteStalls() {
     for (const Stall& stall : Stalls()) {
       World world;
+      world.is_swept = false;
       world.target_ends = milliseconds(400);
       StallWorld simulation(world, stall);
       simulation.RunFor(milliseconds(400) + kRequestInterval + kWork +
