--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -19,9 +19,10 @@
 // the answer takes. Other balancers drop the copies that they get, because the
 // first packet may have been forwarded. The caller then opens another flow.
 //
-// The per-flow records (m_flows) hold the target of flows that are opening and
-// what tells the load of each target and whether it answers. Losing them at any
-// time leads no packet elsewhere and resets no flow.
+// The per-flow records (m_flows) hold the target of flows that are opening, and
+// they count the load of each target and the requests that it leaves
+// unanswered. Losing them at any time leads no packet elsewhere and resets no
+// flow.
 //
 // A flow that may be open is reset only if another process has its target's
 // address, or if its route was removed after it was seen here. No flow is reset
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -19,10 +19,6 @@
 
 constexpr std::uint16_t kInternalPort = 7720;
 constexpr std::uint16_t kMetricsPort = 7735;
-constexpr int kDataCentres = 3;
-// The platform gives the address of a target that has ended to another one
-// after 2 s at the earliest.
-constexpr Duration kAddressReuse = milliseconds(2100);
 
 std::string Text(std::uint32_t node) {
   return IpAddress::FromV4(node).ToString();
@@ -148,22 +144,6 @@
   process->child->Start(arguments, folder + "/boot.json");
 }
 
-Endpoint System::AddressOfTarget(std::size_t place) const {
-  const std::uint32_t node = (m_state->edges.front() & 0xffff0000) + 0x300 +
-                             static_cast<std::uint32_t>(place) + 1;
-  return {IpAddress::FromV4(node), 8080};
-}
-
-void System::AddTarget(std::size_t place) {
-  const std::uint64_t number = 0x100000 + ++m_last_target;
-  // An address is sometimes reused by a target of another service.
-  const std::string pool = m_random() % 4 == 0 ? "gallery" : "orders";
-  m_targets[place] = std::make_unique<TargetActor>(
-      m_state, number, place < 2 ? (place == 0 ? "gallery" : "orders") : pool,
-      AddressOfTarget(place), "dc-" + std::to_string(place % kDataCentres),
-      m_random());
-}
-
 System::Process* System::PickProcess(bool is_control) {
   std::vector<Process*> fit;
   for (const auto& process : m_processes) {
@@ -352,36 +332,6 @@
   }
 }
 
-// Makes one target crash or leave, and later starts another at its address.
-void System::ChangeTarget() {
-  const std::size_t place = 2 + m_random() % (m_targets.size() - 2);
-  if (m_targets[place] == nullptr) return;
-  TargetActor* target = m_targets[place].get();
-  const bool is_crash = m_random() % 2 == 0;
-  if (is_crash) {
-    target->Crash();
-  } else {
-    target->Leave();
-  }
-  m_retired_targets.push_back(std::move(m_targets[place]));
-  Schedule(is_crash ? RandomSpan(2100, 4000) : RandomSpan(7000, 9000),
-           [this, place] { AddSuccessor(place); });
-}
-
-void System::AddSuccessor(std::size_t place) {
-  if (m_targets[place] != nullptr) return;
-  bool was_running = false;
-  for (const auto& target : m_retired_targets) {
-    const bool is_running =
-        target->address() == AddressOfTarget(place) && target->IsRunning();
-    if (!is_running) continue;
-    target->Crash();
-    was_running = true;
-  }
-  if (!was_running) return AddTarget(place);
-  Schedule(kAddressReuse, [this, place] { AddSuccessor(place); });
-}
-
 // Planned rolling restart of the edges, one after the other.
 void System::RestartEdges() {
   Duration delay{0};
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -19,6 +19,8 @@
 
 namespace sardinelead::soak {
 
+constexpr int kDataCentres = 3;
+
 struct SoakSettings {
   std::uint64_t seed = 1;
   std::string programs;  // Directory of the programs.
--- a/tests/balancer_stall_test.cc
+++ b/tests/balancer_stall_test.cc
@@ -317,7 +317,7 @@
   // latest when the caller has sent the copy after the next one. Its flows are
   // not reset, since a target that is paused looks the same (issue 38). Without
   // timeouts: a stall beyond CookieBalancerSettings::request_timeout ends the
-  // requests before it, and only later ones tell.
+  // requests before it, and only later ones are evidence.
   void DeadTargetIsLostDespiteStalls() {
     for (const Stall& stall : Stalls()) {
       World world;
--- a/tests/cookie_balancer_loss_test.cc
+++ b/tests/cookie_balancer_loss_test.cc
@@ -12,7 +12,7 @@
   CPPUNIT_TEST(ReportsLeaseExpiryAndRenewal);
   CPPUNIT_TEST(StalledBalancerDoesNotMarkTargetsLost);
   CPPUNIT_TEST(TwoLostRequestsResetNoFlow);
-  CPPUNIT_TEST(UnreadAnswerKeepsTheFlowsOfALostTarget);
+  CPPUNIT_TEST(UnreadAnswerEndsTheLoss);
   CPPUNIT_TEST(SilenceAloneResetsNoFlow);
   CPPUNIT_TEST(PacketsDroppedHereAreNoEvidence);
   CPPUNIT_TEST(HeldCopiesAreNoEvidence);
@@ -114,7 +114,7 @@
 
   // Guards against avoiding a living target whose answers waited in the socket
   // while this process stalled (review, case 3).
-  void UnreadAnswerKeepsTheFlowsOfALostTarget() {
+  void UnreadAnswerEndsTheLoss() {
     const std::uint32_t cookie = CookieOf(1);
     for (std::uint16_t port = 1; port <= 3; ++port) OpenAt(port, kService, 1);
     RetransmitTwoRequests(cookie);
