Routes of kind upload; settings of the link, evacuations and warm-up

Cause: a configuration with an upload route was refused as a whole, since the kind was unknown, so a deployment that has one was not served at all.

Change: RequestKind has kUpload, which must run at most once, and IsRetryable() says which kinds may be repeated. An unknown kind is still refused with the field's path. The settings of a process carry the data centres, the capacity of the VM's link, the bound of an evacuation and the limit for targets that warm up.

Result: PlatformCodecTest reads each kind that the platform names, by text and by the encoding for balancers.

--- /dev/null
+++ b/include/sardinelead/evacuation.h
@@ -0,0 +1,55 @@
+#ifndef SARDINELEAD_EVACUATION_H_
+#define SARDINELEAD_EVACUATION_H_
+
+// Which data centres are evacuated: their targets get no new flows, while open
+// flows stay. The replicas decide the table; balancers follow it.
+//
+//   EvacuationTable table;
+//   table.Set("luzon-a", true, log_index);
+//   if (table.IsEvacuated("luzon-a")) ...
+//
+// Not thread-safe.
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace sardinelead {
+
+struct Evacuation {
+  bool is_active = false;
+  std::uint64_t changed_at = 0;  // Log index of the last change.
+};
+
+class EvacuationTable {
+ public:
+  static constexpr std::size_t kMaxDataCentres = 64;
+  static constexpr std::size_t kMaxNameBytes = 64;
+
+  // Data centres that were never evacuated have no entry. Ended evacuations
+  // keep theirs, so that an order that was overtaken is recognised.
+  const std::map<std::string, Evacuation>& entries() const {  // NOLINT
+    return m_entries;
+  }
+  bool IsEvacuated(const std::string& data_centre) const;
+  // Log index of the last change of this data centre; 0 if there was none.
+  std::uint64_t ChangedAt(const std::string& data_centre) const;
+  // The highest log index of a change; 0 if there was none.
+  std::uint64_t version() const { return m_version; }  // NOLINT
+
+  // Records a change decided at `log_index`. Returns false, and changes
+  // nothing, if a limit above is exceeded or the name is empty.
+  bool Set(const std::string& data_centre, bool is_active,
+           std::uint64_t log_index);
+
+ private:
+  std::map<std::string, Evacuation> m_entries;
+  std::uint64_t m_version = 0;
+};
+
+bool operator==(const EvacuationTable& a, const EvacuationTable& b);
+
+}  // namespace sardinelead
+
+#endif  // SARDINELEAD_EVACUATION_H_
--- a/include/sardinelead/route_table.h
+++ b/include/sardinelead/route_table.h
@@ -20,13 +20,17 @@
 
 namespace sardinelead {
 
-// Whether an unanswered request of the route may be retried.
+// The kind of a route's requests. Encoded by number, so new kinds go last.
 enum class RequestKind : std::uint8_t {
   kIdempotent,     // May be retried.
   kNonIdempotent,  // Must run at most once.
   kDownload,       // May be retried; has long answers.
+  kUpload,         // Must run at most once; has long requests.
+  kCount,
 };
 const char* Name(RequestKind kind);
+// Whether a request that may have run can be sent again.
+bool IsRetryable(RequestKind kind);
 
 // A pool and its weight in the distribution of a route's new flows.
 struct PoolShare {
--- /dev/null
+++ b/src/evacuation.cc
@@ -0,0 +1,37 @@
+#include "sardinelead/evacuation.h"
+
+#include <algorithm>
+
+namespace sardinelead {
+
+bool EvacuationTable::IsEvacuated(const std::string& data_centre) const {
+  const auto found = m_entries.find(data_centre);
+  return found != m_entries.end() && found->second.is_active;
+}
+
+std::uint64_t EvacuationTable::ChangedAt(const std::string& data_centre) const {
+  const auto found = m_entries.find(data_centre);
+  return found == m_entries.end() ? 0 : found->second.changed_at;
+}
+
+bool EvacuationTable::Set(const std::string& data_centre, bool is_active,
+                          std::uint64_t log_index) {
+  const bool is_known = m_entries.count(data_centre) != 0;
+  const bool is_full = !is_known && m_entries.size() >= kMaxDataCentres;
+  if (is_full || data_centre.empty()) return false;
+  if (data_centre.size() > kMaxNameBytes) return false;
+  m_entries[data_centre] = {is_active, log_index};
+  m_version = std::max(m_version, log_index);
+  return true;
+}
+
+bool operator==(const EvacuationTable& a, const EvacuationTable& b) {
+  const auto equals = [](const auto& x, const auto& y) {
+    return x.first == y.first && x.second.is_active == y.second.is_active &&
+           x.second.changed_at == y.second.changed_at;
+  };
+  return std::equal(a.entries().begin(), a.entries().end(), b.entries().begin(),
+                    b.entries().end(), equals);
+}
+
+}  // namespace sardinelead
--- a/src/route_table.cc
+++ b/src/route_table.cc
@@ -51,10 +51,18 @@
       return "non-idempotent";
     case RequestKind::kDownload:
       return "download";
+    case RequestKind::kUpload:
+      return "upload";
+    case RequestKind::kCount:
+      break;
   }
   return "unknown";
 }
 
+bool IsRetryable(RequestKind kind) {
+  return kind == RequestKind::kIdempotent || kind == RequestKind::kDownload;
+}
+
 bool operator==(const Route& a, const Route& b) {
   return a.name == b.name && a.address == b.address && a.kind == b.kind &&
          a.timeout_ms == b.timeout_ms && a.objective_ms == b.objective_ms &&
--- a/src/route_table_reader.cc
+++ b/src/route_table_reader.cc
@@ -152,7 +152,7 @@
     switch (field) {
       case kKind:
         route.kind = static_cast<RequestKind>(number);
-        return number <= static_cast<std::uint32_t>(RequestKind::kDownload);
+        return number < static_cast<std::uint32_t>(RequestKind::kCount);
       case kTimeout:
         route.timeout_ms = number;
         return true;
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -82,6 +82,7 @@
   CPPUNIT_TEST(ReadsDeregistrations);
   CPPUNIT_TEST(LateDeregistrationEndsNoLaterProcess);
   CPPUNIT_TEST(ReadsConfigurations);
+  CPPUNIT_TEST(ReadsEachRequestKind);
   CPPUNIT_TEST(ConfigurationErrorsNameTheKey);
   CPPUNIT_TEST(RejectsTruncatedText);
   CPPUNIT_TEST(DocumentsKeepTheOperatorsText);
@@ -102,7 +103,21 @@
     CPPUNIT_ASSERT(settings->target_heartbeat ==
                    std::chrono::milliseconds(770));
     CPPUNIT_ASSERT(settings->shutdown_grace == std::chrono::seconds(6));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, settings->link_bytes_per_second);
+    CPPUNIT_ASSERT(!settings->evacuation_bound && !settings->warm_up_limit);
     json boot = MakeBoot();
+    boot["zones"] = {{"luzon-a", "luzon"}, {"luzon-b", "luzon"}};
+    boot["limits"] = {{"maxFds", 4100}, {"linkMbps", 1.5}};
+    boot["bounds"]["evacuateMs"] = 5000;
+    boot["bounds"]["warmupOverage"] = 1.5;
+    boot["bounds"]["warmupSlack"] = 5;
+    const auto full = DecodeBootSettings(boot.dump());
+    CPPUNIT_ASSERT(full.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, full->data_centres.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{187'500}, full->link_bytes_per_second);
+    CPPUNIT_ASSERT(full->evacuation_bound == std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(1.5, full->warm_up_limit->rate_factor);
+    CPPUNIT_ASSERT_EQUAL(5.0, full->warm_up_limit->slack);
     boot["someNewField"] = {1, 2};
     boot["dataDir"] = "/data/x";
     CPPUNIT_ASSERT_EQUAL(std::string("/data/x"),
@@ -346,6 +361,33 @@
     CPPUNIT_ASSERT(table->idle_timeout == std::chrono::seconds(12));
   }
 
+  // Each kind that the platform names must survive the operator's text and the
+  // encoding for balancers. A configuration with a kind that does not exist is
+  // refused as a whole, since nothing says whether its requests may run twice.
+  void ReadsEachRequestKind() {
+    const struct {
+      const char* name;
+      RequestKind kind;
+      bool is_retryable;
+    } kinds[] = {{"idempotent", RequestKind::kIdempotent, true},
+                 {"non_idempotent", RequestKind::kNonIdempotent, false},
+                 {"download", RequestKind::kDownload, true},
+                 {"upload", RequestKind::kUpload, false}};
+    for (const auto& expected : kinds) {
+      json config = MakeConfig();
+      config["routes"][0]["type"] = expected.name;
+      const auto table = DecodeConfig(config.dump());
+      CPPUNIT_ASSERT_MESSAGE(expected.name, table.has_value());
+      const auto copy = DecodeRouteTable(EncodeRouteTable(*table));
+      CPPUNIT_ASSERT_MESSAGE(expected.name, copy.has_value());
+      CPPUNIT_ASSERT(copy->routes[0].kind == expected.kind);
+      CPPUNIT_ASSERT_EQUAL(expected.is_retryable, IsRetryable(expected.kind));
+    }
+    json unknown = MakeConfig();
+    unknown["routes"][0]["type"] = "stream";
+    AssertRejected(unknown, "routes[0].type", DecodeConfig);
+  }
+
   void ConfigurationErrorsNameTheKey() {
     json unknown = MakeConfig();
     unknown["routes"][0]["service"] = "nowhere";
