--- /dev/null
+++ b/src/link_model.cc
@@ -0,0 +1,114 @@
+#include "link_model.h"
+
+#include <algorithm>
+
+namespace sardinelead {
+
+namespace {
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+LinkModel::LinkModel(const LinkModelSettings& settings)
+    : m_settings(settings), m_rate(settings.capacity) {}
+
+Duration LinkModel::TimeFor(double bytes) const {
+  if (!IsLimited()) return Duration(0);
+  const double paced = m_rate * (1 - m_settings.reserve);
+  return Duration(static_cast<Duration::rep>(bytes / paced * 1e9));
+}
+
+void LinkModel::OnSent(std::size_t bytes, TimePoint now) {
+  if (!IsLimited()) return;
+  Increase(now);
+  const auto charged = static_cast<double>(bytes + m_settings.overhead_bytes);
+  m_window.bytes += charged;
+  m_free_at = std::min(std::max(m_free_at, now) + TimeFor(charged),
+                       std::max(m_free_at, now + kMaxBacklog));
+}
+
+TimePoint LinkModel::NextSend(std::size_t bytes, TimePoint now) const {
+  if (!IsLimited()) return now;
+  const std::size_t charged = bytes + m_settings.overhead_bytes;
+  // A datagram larger than the burst waits for an idle link.
+  const std::size_t ahead =
+      m_settings.burst_bytes - std::min(charged, m_settings.burst_bytes);
+  return std::max(now, m_free_at - TimeFor(static_cast<double>(ahead)));
+}
+
+Duration LinkModel::Backlog(TimePoint now) const {
+  return IsLimited() ? std::max(m_free_at - now, Duration(0)) : Duration(0);
+}
+
+double LinkModel::BacklogBytes(TimePoint now) const {
+  return Seconds(Backlog(now)) * m_rate * (1 - m_settings.reserve);
+}
+
+void LinkModel::OnRoundTrip(Duration round_trip, TimePoint now) {
+  if (!IsLimited()) return;
+  Increase(now);
+  UpdateLongTerm(round_trip, now);
+  if (now - m_window.began > kMaxWindow) m_window = {now, 0, Duration::max()};
+  ++m_window.samples;
+  m_window.min = std::min(m_window.min, round_trip);
+  if (m_window.samples < kMinSamples || now - m_window.began < kWindow) return;
+  Evaluate(m_window, now);
+  m_window = {now, 0, Duration::max()};
+}
+
+void LinkModel::UpdateLongTerm(Duration round_trip, TimePoint now) {
+  if (now - m_long_term_began > kLongTerm) {
+    m_long_term_began = now;
+    m_previous_long_term = m_long_term;
+    m_long_term = Duration::max();
+  }
+  m_long_term = std::min(m_long_term, round_trip);
+}
+
+void LinkModel::Evaluate(const Window& window, TimePoint now) {
+  const Duration usual = std::min(m_long_term, m_previous_long_term);
+  const auto burst = static_cast<double>(m_settings.burst_bytes);
+  const bool is_used =
+      window.bytes >= kMinUse * m_rate * Seconds(now - window.began);
+  if (!is_used || window.min <= usual + kTolerance + TimeFor(burst)) {
+    m_flat_windows = m_unconfirmed = 0;
+    m_last_min = Duration(0);
+    return;
+  }
+  const bool is_falling = window.min < m_last_min - kTolerance / 2;
+  const bool is_rising = window.min > m_last_min + kTolerance;
+  m_last_min = window.min;
+  if (is_falling) return;  // The queue drains; the estimate is low enough.
+  if (is_rising || m_unconfirmed < kUnconfirmedDecreases) {
+    m_unconfirmed = is_rising ? 0 : m_unconfirmed + 1;
+    m_flat_windows = 0;
+    Decrease(now);
+    return;
+  }
+  if (++m_flat_windows < kMaxFlatWindows) return;
+  m_long_term = window.min;
+  m_previous_long_term = Duration::max();
+}
+
+void LinkModel::Decrease(TimePoint now) {
+  const double before = m_rate;
+  m_rate = std::max(m_rate * kDecrease, m_settings.capacity * kMinShare);
+  m_increased_at = now + kIncreaseDelay;
+  ++m_decreases;
+  const double scale = before / m_rate;
+  m_free_at = now + Duration(static_cast<Duration::rep>(
+                        static_cast<double>(Backlog(now).count()) * scale));
+}
+
+void LinkModel::Increase(TimePoint now) {
+  if (now <= m_increased_at) return;
+  const double gained = m_settings.capacity * kIncreasePerSecond;
+  m_rate = std::min(m_settings.capacity,
+                    m_rate + gained * Seconds(now - m_increased_at));
+  m_increased_at = now;
+}
+
+}  // namespace sardinelead
