--- a/src/link_model.cc
+++ b/src/link_model.cc
@@ -79,9 +79,14 @@
     return;
   }
   const bool is_falling = window.min < m_last_min - kTolerance / 2;
-  const bool is_rising = window.min > m_last_min + kTolerance;
+  const bool is_rising =
+      m_last_min > Duration(0) && window.min > m_last_min + kTolerance;
   m_last_min = window.min;
-  if (is_falling) return;  // The queue drains; the estimate is low enough.
+  if (is_falling) {
+    // The queue drains; an increase would keep it standing.
+    m_increased_at = now + kIncreaseDelay;
+    return;
+  }
   if (is_rising || m_unconfirmed < kUnconfirmedDecreases) {
     m_unconfirmed = is_rising ? 0 : m_unconfirmed + 1;
     m_flat_windows = 0;
