What waits for or is dropped at our own link is no evidence against targets

Cause: a packet that waits here was taken for forwarded, so callers' copies, late answers and timeouts counted against its target. Change: the balancer learns when a packet was queued, handed over or dropped (OnQueued, OnTransmitted, OnQueueDropped). Ages of requests and opening packets count from the hand-over; copies of packets that wait count for nothing, and what the queue dropped counts from the copy that replaces it. A hook can refuse flows that are not placed yet, with the reason link-full.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -36,7 +36,13 @@
 // must not look like a failure of a target. Nor is it a failure that nothing
 // arrives.
 //
+// Nor does it count against a target that a packet waits here for this VM's own
+// link, or is dropped there: OnQueued(), OnTransmitted() and OnQueueDropped()
+// report that. The ages of requests and opening packets count from the time at
+// which the packet was handed to the socket.
+//
 //   Forwarding f = balancer.OnPacket(packet, now);
+//   if (is_queued) balancer.OnQueued(f.flow);  // Else it is sent at once.
 //   balancer.OnDrained(read_at, sent_at);  // After the last pending packet.
 //
 // docs/design/platform.md compares this design with flow records. Performs no
@@ -55,6 +61,7 @@
 
 #include "sardinelead/error.h"
 #include "sardinelead/flow_placement.h"
+#include "sardinelead/queued_flows.h"
 #include "sardinelead/read_progress.h"
 #include "sardinelead/route_table.h"
 #include "sardinelead/target_directory.h"
@@ -103,6 +110,7 @@
   kUnknownCookie,  // No known target has this cookie.
   kTargetEnded,    // Another process has the address of the flow's target.
   kNotReady,       // No route table received yet.
+  kLinkFull,       // This VM's link cannot carry the new flow in time.
   kCount,
 };
 const char* Name(ForwardReason reason);
@@ -142,9 +150,10 @@
 
 // A step of a flow whose duration the balancer measures.
 enum class FlowStep : std::uint8_t {
-  kOpening,  // From the opening packet to the caller's next one.
-  kAnswer,   // From a request to the caller's first acknowledgement of its
-             // answer.
+  kOpening,  // From the hand-over of the opening packet to the socket, to the
+             // caller's next packet.
+  kAnswer,   // From the hand-over of a request to the caller's first
+             // acknowledgement of its answer.
 };
 
 struct FlowTiming {
@@ -183,6 +192,14 @@
     std::function<void(const TargetHealthReport& health_report)>
         on_health_change;
     std::function<void(const FlowTiming& timing)> on_timing;
+    // Whether this VM's link can carry a new flow of the route in time; if not,
+    // the flow is refused. Asked once for each flow that is about to be placed
+    // here. Empty if all flows are admitted.
+    std::function<bool(const Route& route, TimePoint now)> admits = {};
+    // A request of the route at this address was answered; it had this many
+    // bytes of data. May be empty.
+    std::function<void(const Endpoint& service, std::size_t bytes)>
+        on_request_size = {};
   };
 
   // `directory` is not owned and must outlive this object.
@@ -199,6 +216,16 @@
   // been passed to OnPacket(), and what was to be forwarded had been sent by
   // `sent_at`. Must also be called every 50 ms while no packets arrive.
   void OnDrained(TimePoint read_at, TimePoint sent_at);
+  // The packet that OnPacket() decided to forward last waits for this VM's
+  // link. Must be called before the next OnPacket(). Afterwards, exactly one of
+  // the other two must be called for it: when it was handed to the socket, or
+  // when the queue dropped it. A packet that the queue does not accept is
+  // reported as queued and dropped, but a copy of a packet that waits already
+  // is not reported.
+  void OnQueued(const FlowKey& key);
+  void OnTransmitted(const FlowKey& key, TimePoint now);
+  void OnQueueDropped(const FlowKey& key);
+  bool HasQueued(const FlowKey& key) const { return m_queued.Contains(key); }
   // This process or its kernel dropped packets. Those forwarded so far say
   // nothing about targets.
   void OnPacketsDropped() { m_progress.OnPacketsDropped(); }
@@ -219,13 +246,18 @@
     bool is_open = false;
     bool is_closed = false;   // The caller has sent its last data.
     bool is_waiting = false;  // A request has no answer yet.
+    // The flow's last packet has data that was not sent before, or opens it.
+    bool is_first_send = false;
+    // Packets that our queue dropped and that the caller has not sent again.
+    std::uint8_t dropped_here = 0;
+    std::uint32_t request_bytes = 0;  // Of the latest request, without copies.
     std::uint32_t acknowledged = 0;
     std::uint32_t data_end = 0;  // Sequence number after the last data byte.
     // The round in which the last copy of the request was forwarded that counts
     // as evidence.
     std::uint64_t sent_round = 0;
-    TimePoint opened_at;   // Arrival of the first opening packet.
-    TimePoint request_at;  // Arrival of the latest new data.
+    TimePoint opened_at;   // Hand-over of the first opening packet.
+    TimePoint request_at;  // Hand-over of the latest new data.
     TimePoint seen_at;
   };
   struct HashFlowKey {
@@ -253,6 +285,8 @@
   void UpdateRequestState(const FlowPacket& packet, Flow* flow, TimePoint now);
   void OnRetransmittedRequest(const FlowPacket& packet, Flow* flow,
                               TimePoint now);
+  bool ReplacesDropped(const FlowKey& key, Flow* flow) const;
+  void OnOpeningSent(Flow* flow, TimePoint now);
   void ExpireFlows(TimePoint now);
   std::vector<Forwarding> ResetFlowsOfEndedTargets();
   void ReportHealthChanges(TimePoint now);
@@ -270,6 +304,7 @@
   std::unordered_set<Endpoint, EndpointHash> m_removed_routes;
   std::unordered_map<FlowKey, Flow, HashFlowKey> m_flows;
   ReadProgress m_progress;
+  QueuedFlows m_queued;
   std::set<std::uint64_t> m_lost;    // Targets last reported as lost.
   std::set<std::uint64_t> m_silent;  // Targets last reported as silent.
   std::set<std::uint64_t> m_ended;   // Ended targets whose flows were reset.
--- a/include/sardinelead/flow_placement.h
+++ b/include/sardinelead/flow_placement.h
@@ -99,7 +99,12 @@
       const std::vector<PlacementTarget>& targets, std::size_t balancers,
       std::uint64_t random, TimePoint now);
 
+  // A flow was placed at the target and its opening packet sent.
   void OnOpening(std::uint64_t target, TimePoint now);
+  // The opening packet for which OnOpening() was called last, at `assumed_at`,
+  // was queued instead of sent. OnOpeningSent() follows if it is sent later.
+  void OnOpeningQueued(std::uint64_t target, TimePoint assumed_at);
+  void OnOpeningSent(std::uint64_t target, TimePoint now);
   // The flow opened at the target. `was_opening` is true if OnOpening() was
   // called for the flow and not canceled.
   void OnOpened(std::uint64_t target, bool was_opening, TimePoint now);
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -44,6 +44,8 @@
       return "target-ended";
     case ForwardReason::kNotReady:
       return "not-ready";
+    case ForwardReason::kLinkFull:
+      return "link-full";
     case ForwardReason::kCount:
       break;
   }
@@ -155,6 +157,9 @@
   if (packet.is_copy) return Drop(packet, ForwardReason::kUnplacedCopy);
   RemoveFlow(packet.flow);  // An earlier flow with the same addresses.
   const Route& route = *m_routes.Find(packet.flow.service);
+  if (m_hooks.admits && !m_hooks.admits(route, now)) {
+    return MakeReset(packet, ForwardReason::kLinkFull);
+  }
   const auto& targets =
       TargetsInPool(route.SelectPool(packet.flow.Hash()), now);
   const auto chosen =
@@ -173,6 +178,7 @@
   flow.opened_at = now;
   flow.seen_at = now;
   flow.data_end = packet.sequence;
+  flow.is_first_send = true;
   m_placement.OnOpening(*chosen, now);
   return ForwardTo(*entry, packet.flow, ForwardReason::kPlaced);
 }
@@ -185,6 +191,10 @@
   if (entry == nullptr || flow->is_closed) {
     return Drop(packet, ForwardReason::kUnplacedCopy);
   }
+  flow->is_first_send = false;
+  if (!flow->is_open && ReplacesDropped(packet.flow, flow)) {
+    OnOpeningSent(flow, now);
+  }
   return ForwardTo(*entry, packet.flow, ForwardReason::kPlacedCopy);
 }
 
@@ -251,6 +261,7 @@
   const auto [found, is_new] = m_flows.try_emplace(packet.flow);
   Flow& flow = found->second;
   flow.seen_at = now;
+  flow.is_first_send = false;
   if (flow.is_closed) return reason;
   if (!flow.is_open) OpenFlow(packet, target, !is_new, &flow, now);
   UpdateRequestState(packet, &flow, now);
@@ -280,6 +291,9 @@
       m_placement.OnAnswer(flow->target, flow->request_at, now);
       m_hooks.on_timing(
           {FlowStep::kAnswer, flow->target, now - flow->request_at});
+      if (m_hooks.on_request_size) {
+        m_hooks.on_request_size(packet.flow.service, flow->request_bytes);
+      }
     }
     flow->is_waiting = false;
   }
@@ -291,8 +305,14 @@
   flow->data_end = end;
   flow->request_at = now;
   flow->sent_round = m_progress.round();
-  if (!flow->is_waiting) m_placement.OnRequest(flow->target);
+  flow->is_first_send = true;
+  if (!flow->is_waiting) {
+    m_placement.OnRequest(flow->target);
+    flow->request_bytes = 0;
+    flow->dropped_here = 0;
+  }
   flow->is_waiting = true;
+  flow->request_bytes += packet.length;
 }
 
 // Keeps the record until it expires: the caller still acknowledges what the
@@ -403,10 +423,15 @@
     const Duration idle = std::min(now, m_progress.read_until()) - flow.seen_at;
     if (idle > m_settings.flow_idle_timeout) expired.push_back(key);
     if (!flow.is_waiting || idle <= m_settings.request_timeout) continue;
+    if (m_queued.Contains(key)) continue;
     // When the set of balancers changes, routers move flows to other balancers,
     // and this one does not see the answers. Without this timeout, the pending
     // requests would count as load here until the flow records expire.
-    m_placement.OnRequestTimeout(flow.target, now);
+    if (flow.dropped_here == 0) {
+      m_placement.OnRequestTimeout(flow.target, now);
+    } else {
+      m_placement.OnRequestEnded(flow.target);
+    }
     flow.is_waiting = false;
   }
   for (const FlowKey& key : expired) RemoveFlow(key);
--- a/src/cookie_balancer_loss.cc
+++ b/src/cookie_balancer_loss.cc
@@ -16,6 +16,12 @@
 void CookieBalancer::OnRetransmittedRequest(const FlowPacket& packet,
                                             Flow* flow, TimePoint now) {
   if (!flow->is_waiting || packet.is_held) return;
+  if (m_queued.Contains(packet.flow)) return;
+  if (ReplacesDropped(packet.flow, flow)) {
+    flow->request_at = now;
+    flow->sent_round = m_progress.round();
+    return;
+  }
   if (!m_progress.IsReliable(flow->sent_round)) {
     // The copies so far may have been dropped here. This one is the first that
     // counts.
--- a/src/flow_placement.cc
+++ b/src/flow_placement.cc
@@ -151,11 +151,21 @@
 }
 
 void FlowPlacement::OnOpening(std::uint64_t target, TimePoint now) {
+  ++m_views[target].opening;
+  OnOpeningSent(target, now);
+}
+
+void FlowPlacement::OnOpeningSent(std::uint64_t target, TimePoint now) {
   TargetStats& view = m_views[target];
-  ++view.opening;
   if (!view.unanswered_since) view.unanswered_since = now;
 }
 
+void FlowPlacement::OnOpeningQueued(std::uint64_t target,
+                                    TimePoint assumed_at) {
+  TargetStats& view = m_views[target];
+  if (view.unanswered_since == assumed_at) view.unanswered_since.reset();
+}
+
 void FlowPlacement::OnOpened(std::uint64_t target, bool was_opening,
                              TimePoint now) {
   TargetStats& view = m_views[target];
