Edge: packets are paced to the capacity of the VM's own link

Cause: packets queued outside the process, in the order of their arrival. Feed and HTTP traffic is charged. Metrics, log lines and a page for operators.

--- a/include/sardinelead/http_server.h
+++ b/include/sardinelead/http_server.h
@@ -83,6 +83,9 @@
   Duration read_deadline = std::chrono::seconds(10);  // For a whole request.
   Duration write_deadline = std::chrono::seconds(10);
   Duration handle_deadline = std::chrono::seconds(60);
+  // Called with the approximate size of each response, on the thread that
+  // responds. May be empty.
+  std::function<void(std::size_t bytes)> on_response = {};
 };
 
 class HttpServer {
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -182,6 +182,16 @@
   return text.substr(0, kMaxErrorBytes) + "...";
 }
 
+// The size of a response whose server adds the usual headers.
+std::size_t ApproximateBytes(const HttpResponse& response) {
+  constexpr std::size_t kStatusAndUsualHeaders = 160;
+  std::size_t bytes = kStatusAndUsualHeaders + response.body.size();
+  for (const auto& [name, value] : response.headers) {
+    bytes += name.size() + value.size();
+  }
+  return bytes;
+}
+
 void Send(const restinio::request_handle_t& raw, HttpResponse response,
           std::function<void()> sent) {
   auto builder = raw->create_response(restinio::http_status_line_t{
@@ -307,11 +317,13 @@
                              AsyncHandler handler) {
   auto on_request = [handler = std::move(handler),
                      in_flight = m_impl->in_flight,
+                     on_response = m_impl->settings.on_response,
                      names = ParameterNames(pattern)](
                         const restinio::request_handle_t& raw,
                         const restinio::router::route_params_t& params) {
     in_flight->Begin();
-    Respond respond = [raw, in_flight](HttpResponse response) {
+    Respond respond = [raw, in_flight, on_response](HttpResponse response) {
+      if (on_response) on_response(ApproximateBytes(response));
       Send(raw, std::move(response), [in_flight] { in_flight->End(); });
     };
     handler(FromRestinio(*raw, params, names), std::move(respond));
--- a/src/packet_scheduler.cc
+++ b/src/packet_scheduler.cc
@@ -8,7 +8,7 @@
 namespace sardinelead {
 
 const char* Name(ScheduleResult result) {
-  static constexpr std::array<const char*, 4> kNames = {"send_now", "queued",
+  static constexpr std::array<const char*, 4> kNames = {"send-now", "queued",
                                                         "duplicate", "dropped"};
   return kNames[static_cast<std::size_t>(result)];
 }
@@ -16,7 +16,7 @@
 const char* Name(ScheduleDropReason reason) {
   static constexpr std::array<const char*, static_cast<std::size_t>(
                                                ScheduleDropReason::kCount)>
-      kNames = {"duplicate", "queue_full", "expired", "flow_ended"};
+      kNames = {"duplicate", "queue-full", "expired", "flow-ended"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
--- a/src/peer_port.h
+++ b/src/peer_port.h
@@ -22,6 +22,8 @@
     std::function<void(NodeId peer)> on_peer_started;
     // Called after each batch of received messages.
     std::function<void()> on_batch_end;
+    // Called with the size of each datagram that is sent. May be empty.
+    std::function<void(std::size_t bytes)> on_sent = {};
   };
 
   PeerPort(asio::io_context* context, PeerLinkSettings settings, Hooks hooks);
@@ -33,6 +35,7 @@
 
  private:
   void OnDatagram(ByteView datagram, const Endpoint& source);
+  void SendDatagram(const Datagram& datagram);
 
   Hooks m_hooks;
   PeerLink m_link;
