A request that waits for our link is not counted as load of its target

Cause: requests in the queue raised the number of pending requests of their target, which looks like a full data centre and sends flows to others. Change: the placement counts a request from its hand-over. Only packets that have data or open a flow are reported to the balancer.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -216,8 +216,9 @@
   // been passed to OnPacket(), and what was to be forwarded had been sent by
   // `sent_at`. Must also be called every 50 ms while no packets arrive.
   void OnDrained(TimePoint read_at, TimePoint sent_at);
-  // The packet that OnPacket() decided to forward last waits for this VM's
-  // link. Must be called before the next OnPacket(). Afterwards, exactly one of
+  // The packet that OnPacket() decided to forward last, which has data or opens
+  // its flow, waits for this VM's link. Must be called before the next
+  // OnPacket(). Afterwards, exactly one of
   // the other two must be called for it: when it was handed to the socket, or
   // when the queue dropped it. A packet that the queue does not accept is
   // reported as queued and dropped, but a copy of a packet that waits already
@@ -246,8 +247,11 @@
     bool is_open = false;
     bool is_closed = false;   // The caller has sent its last data.
     bool is_waiting = false;  // A request has no answer yet.
-    // The flow's last packet has data that was not sent before, or opens it.
+    bool is_counted = false;  // The placement counts the pending request.
+    // The flow's last packet has data that was not sent before, or opens it,
+    // and the placement counts the pending request since that packet.
     bool is_first_send = false;
+    bool is_counted_since = false;
     // Packets that our queue dropped and that the caller has not sent again.
     std::uint8_t dropped_here = 0;
     std::uint32_t request_bytes = 0;  // Of the latest request, without copies.
@@ -287,6 +291,8 @@
                               TimePoint now);
   bool ReplacesDropped(const FlowKey& key, Flow* flow) const;
   void OnOpeningSent(Flow* flow, TimePoint now);
+  void OnRequestSent(const FlowKey& key, Flow* flow, TimePoint now);
+  void EndRequest(Flow* flow);
   void ExpireFlows(TimePoint now);
   std::vector<Forwarding> ResetFlowsOfEndedTargets();
   void ReportHealthChanges(TimePoint now);
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -261,7 +261,7 @@
   const auto [found, is_new] = m_flows.try_emplace(packet.flow);
   Flow& flow = found->second;
   flow.seen_at = now;
-  flow.is_first_send = false;
+  flow.is_first_send = flow.is_counted_since = false;
   if (flow.is_closed) return reason;
   if (!flow.is_open) OpenFlow(packet, target, !is_new, &flow, now);
   UpdateRequestState(packet, &flow, now);
@@ -287,15 +287,15 @@
       packet.acknowledges && IsAfter(packet.acknowledged, flow->acknowledged);
   if (is_answered) {
     flow->acknowledged = packet.acknowledged;
-    if (flow->is_waiting) {
+    if (flow->is_counted) {
       m_placement.OnAnswer(flow->target, flow->request_at, now);
       m_hooks.on_timing(
           {FlowStep::kAnswer, flow->target, now - flow->request_at});
       if (m_hooks.on_request_size) {
         m_hooks.on_request_size(packet.flow.service, flow->request_bytes);
       }
+      flow->is_waiting = flow->is_counted = false;
     }
-    flow->is_waiting = false;
   }
   if (packet.length == 0) return;
   const std::uint32_t end = packet.sequence + packet.length;
@@ -303,16 +303,10 @@
     return OnRetransmittedRequest(packet, flow, now);
   }
   flow->data_end = end;
-  flow->request_at = now;
-  flow->sent_round = m_progress.round();
-  flow->is_first_send = true;
-  if (!flow->is_waiting) {
-    m_placement.OnRequest(flow->target);
-    flow->request_bytes = 0;
-    flow->dropped_here = 0;
-  }
+  if (!flow->is_waiting) flow->request_bytes = flow->dropped_here = 0;
   flow->is_waiting = true;
   flow->request_bytes += packet.length;
+  OnRequestSent(packet.flow, flow, now);
 }
 
 // Keeps the record until it expires: the caller still acknowledges what the
@@ -340,7 +334,7 @@
     m_flows.erase(found);
     return;
   }
-  if (flow.is_waiting) m_placement.OnRequestEnded(flow.target);
+  if (flow.is_counted) m_placement.OnRequestEnded(flow.target);
   if (flow.is_open) {
     m_placement.OnClosed(flow.target);
   } else if (flow.target != 0) {
@@ -427,12 +421,11 @@
     // When the set of balancers changes, routers move flows to other balancers,
     // and this one does not see the answers. Without this timeout, the pending
     // requests would count as load here until the flow records expire.
-    if (flow.dropped_here == 0) {
+    if (flow.is_counted && flow.dropped_here == 0) {
       m_placement.OnRequestTimeout(flow.target, now);
-    } else {
-      m_placement.OnRequestEnded(flow.target);
+      flow.is_counted = false;
     }
-    flow.is_waiting = false;
+    EndRequest(&flow);
   }
   for (const FlowKey& key : expired) RemoveFlow(key);
 }
--- a/src/cookie_balancer_link.cc
+++ b/src/cookie_balancer_link.cc
@@ -16,8 +16,14 @@
   const auto found = m_flows.find(key);
   const bool is_first = found != m_flows.end() && found->second.is_first_send;
   m_queued.Add(key, is_first);
-  if (!is_first || found->second.is_open) return;
-  m_placement.OnOpeningQueued(found->second.target, found->second.opened_at);
+  if (!is_first) return;
+  Flow& flow = found->second;
+  if (!flow.is_open) {
+    m_placement.OnOpeningQueued(flow.target, flow.opened_at);
+  } else if (flow.is_counted_since) {
+    m_placement.OnRequestEnded(flow.target);
+    flow.is_counted = flow.is_counted_since = false;
+  }
 }
 
 void CookieBalancer::OnTransmitted(const FlowKey& key, TimePoint now) {
@@ -32,7 +38,11 @@
   }
   if (!flow.is_waiting) return;
   flow.sent_round = m_progress.round();
-  if (is_first) flow.request_at = now;
+  if (!is_first) return;
+  flow.request_at = now;
+  if (flow.is_counted) return;
+  m_placement.OnRequest(flow.target);
+  flow.is_counted = true;
 }
 
 void CookieBalancer::OnQueueDropped(const FlowKey& key) {
@@ -52,6 +62,24 @@
   return true;
 }
 
+// The first packet of a request is sent, or a further one of its data. While an
+// earlier one waits in the queue, the target cannot be busy with the request.
+void CookieBalancer::OnRequestSent(const FlowKey& key, Flow* flow,
+                                   TimePoint now) {
+  flow->request_at = now;
+  flow->sent_round = m_progress.round();
+  flow->is_first_send = true;
+  if (flow->is_counted || m_queued.Contains(key)) return;
+  m_placement.OnRequest(flow->target);
+  flow->is_counted = flow->is_counted_since = true;
+}
+
+// No answer to the pending request is expected.
+void CookieBalancer::EndRequest(Flow* flow) {
+  if (flow->is_counted) m_placement.OnRequestEnded(flow->target);
+  flow->is_waiting = flow->is_counted = false;
+}
+
 void CookieBalancer::OnOpeningSent(Flow* flow, TimePoint now) {
   flow->opened_at = now;
   m_placement.OnOpeningSent(flow->target, now);
--- a/src/cookie_balancer_loss.cc
+++ b/src/cookie_balancer_loss.cc
@@ -18,9 +18,7 @@
   if (!flow->is_waiting || packet.is_held) return;
   if (m_queued.Contains(packet.flow)) return;
   if (ReplacesDropped(packet.flow, flow)) {
-    flow->request_at = now;
-    flow->sent_round = m_progress.round();
-    return;
+    return OnRequestSent(packet.flow, flow, now);
   }
   if (!m_progress.IsReliable(flow->sent_round)) {
     // The copies so far may have been dropped here. This one is the first that
--- a/src/paced_sender.cc
+++ b/src/paced_sender.cc
@@ -23,6 +23,12 @@
   return flags;
 }
 
+// Whether the balancer is told about the packet. The others are answered by no
+// target.
+bool IsReported(const ScheduledPacket& packet) {
+  return (packet.flags & kOpens) != 0 || packet.length > 0;
+}
+
 }  // namespace
 
 PacedSender::PacedSender(std::uint64_t capacity, CookieBalancer* balancer,
@@ -113,7 +119,6 @@
 
 void PacedSender::Schedule(const ScheduledPacket& packet, const Endpoint& to,
                            ByteView head, ByteView body, TimePoint now) {
-  const bool is_to_target = (packet.flags & kToCaller) == 0;
   const std::size_t bytes = head.size + body.size;
   m_added = &packet;
   const ScheduleResult result = m_scheduler.Add(packet, to, head, body, now);
@@ -124,11 +129,11 @@
       return m_hooks.send(to, head, body);
     case ScheduleResult::kQueued:
       m_queued.Add(bytes);
-      if (is_to_target) m_balancer->OnQueued(packet.flow);
+      if (IsReported(packet)) m_balancer->OnQueued(packet.flow);
       if (!m_is_armed) OnWake(now);
       return;
     case ScheduleResult::kDropped:
-      if (!is_to_target) return;
+      if (!IsReported(packet)) return;
       m_balancer->OnQueued(packet.flow);
       m_balancer->OnQueueDropped(packet.flow);
       return;
@@ -155,8 +160,7 @@
           ? 0
           : 1 + std::min<std::size_t>(packet.priority, kTimedPriorities);
   m_waits[rank]->Observe(std::chrono::duration<double>(waited).count());
-  if ((packet.flags & kToCaller) != 0) return;
-  m_balancer->OnTransmitted(packet.flow, m_now);
+  if (IsReported(packet)) m_balancer->OnTransmitted(packet.flow, m_now);
 }
 
 void PacedSender::OnDropped(const ScheduledPacket& packet,
@@ -165,8 +169,9 @@
   if (reason == ScheduleDropReason::kDuplicate) return;
   m_hooks.on_dropped(packet.flow, reason);
   const bool has_waited = &packet != m_added;
-  if (!has_waited || (packet.flags & kToCaller) != 0) return;
-  m_balancer->OnQueueDropped(packet.flow);
+  if (has_waited && IsReported(packet)) {
+    m_balancer->OnQueueDropped(packet.flow);
+  }
 }
 
 bool PacedSender::Admits(const Route& route, TimePoint now) {
