--- a/src/packet_scheduler.cc
+++ b/src/packet_scheduler.cc
@@ -54,6 +54,7 @@
   m_waiting.emplace(packet);
   m_bytes += size;
   const RankQueueSettings turns{m_settings.turn_bytes,
+                                m_settings.flow_turn_bytes,
                                 m_settings.first_turn_bytes};
   m_ranks.try_emplace(rank, turns).first->second.Push(std::move(waiting));
   return ScheduleResult::kQueued;
--- a/src/packet_scheduler.h
+++ b/src/packet_scheduler.h
@@ -53,9 +53,12 @@
   // packets together take at most one of `overdue_divisor` bytes.
   Duration overdue_after = std::chrono::milliseconds(400);
   std::size_t overdue_divisor = 4;  // At least 1.
-  // Bytes that a service, caller or flow sends before the next one's turn.
-  // Turns of the size of a request finish requests one after the other.
-  std::size_t turn_bytes = 24 * 1024;  // At least 1.
+  // Bytes that a service or caller sends before the next one's turn; the
+  // request that it is sending is completed. At least 1.
+  std::size_t turn_bytes = 12'000;
+  // Bytes that a flow sends before the caller's next flow. A request that is
+  // longer shares the link with others, and all of them finish late.
+  std::size_t flow_turn_bytes = 64'000;  // At least 1.
   // A service, caller or flow that begins to wait sends this much before those
   // that wait already; 0 puts it behind them.
   std::size_t first_turn_bytes = 1000;
--- a/src/rank_queue.cc
+++ b/src/rank_queue.cc
@@ -41,7 +41,7 @@
   const FlowKey key = KeyOnLevel(flow, level);
   TurnNode*& node = m_nodes[level][key];
   if (node != nullptr) return node;
-  const bool has_first_turn = m_settings.first_turn_bytes > 0;
+  const bool has_first_turn = TakeFirstTurn(parent);
   auto& siblings = parent->children;
   const auto self = siblings.emplace(has_first_turn ? parent->had_first_turn
                                                     : siblings.end());
@@ -53,11 +53,21 @@
   node->level = level;
   node->parent = parent;
   node->self = self;
-  node->turn_left = static_cast<std::int64_t>(
-      has_first_turn ? m_settings.first_turn_bytes : m_settings.turn_bytes);
+  node->turn_left = has_first_turn
+                        ? static_cast<std::int64_t>(m_settings.first_turn_bytes)
+                        : TurnOf(level);
+  node->is_in_first_turn = has_first_turn;
   return node;
 }
 
+bool RankQueue::TakeFirstTurn(TurnNode* parent) const {
+  if (m_settings.first_turn_bytes == 0) return false;
+  if (parent->had_first_turn == parent->children.end()) return true;
+  if (parent->first_turns >= kMaxFirstTurns) return false;
+  ++parent->first_turns;
+  return true;
+}
+
 WaitingPacket* RankQueue::Next() {
   TurnNode* node = &m_root;
   while (!node->children.empty()) node = &node->children.front();
@@ -77,13 +87,18 @@
 void RankQueue::RemoveSent(WaitingPacket* packet) {
   const auto sent = static_cast<std::int64_t>(packet->datagram.size());
   TurnNode* node = Erase(packet);
+  bool may_end_turn = true;
   while (node != &m_root) {
     TurnNode* parent = node->parent;
     node->turn_left -= sent;
+    const bool is_spent = node->turn_left <= 0;
+    const bool is_flow = node->level == kLevels - 1;
     if (node->packets.empty() && node->children.empty()) {
       RemoveNode(node);
-    } else if (node->turn_left <= 0) {
+    } else if (is_spent && may_end_turn) {
       EndTurn(node);
+    } else if (is_flow) {
+      may_end_turn = false;
     }
     node = parent;
   }
@@ -108,6 +123,7 @@
 
 void RankQueue::RemoveNode(TurnNode* node) {
   TurnNode* parent = node->parent;
+  if (!node->is_in_first_turn) parent->first_turns = 0;
   if (parent->had_first_turn == node->self) ++parent->had_first_turn;
   m_nodes[node->level].erase(node->key);
   parent->children.erase(node->self);
@@ -116,14 +132,20 @@
 void RankQueue::EndTurn(TurnNode* node) {
   TurnNode* parent = node->parent;
   auto& siblings = parent->children;
+  if (!node->is_in_first_turn) parent->first_turns = 0;
+  node->is_in_first_turn = false;
   if (parent->had_first_turn == node->self) ++parent->had_first_turn;
   siblings.splice(siblings.end(), siblings, node->self);
   if (parent->had_first_turn == siblings.end()) {
     parent->had_first_turn = node->self;
   }
-  while (node->turn_left <= 0) {
-    node->turn_left += static_cast<std::int64_t>(m_settings.turn_bytes);
-  }
+  while (node->turn_left <= 0) node->turn_left += TurnOf(node->level);
+}
+
+std::int64_t RankQueue::TurnOf(std::size_t level) const {
+  return static_cast<std::int64_t>(level == kLevels - 1
+                                       ? m_settings.flow_turn_bytes
+                                       : m_settings.turn_bytes);
 }
 
 }  // namespace sardinelead
--- a/src/rank_queue.h
+++ b/src/rank_queue.h
@@ -4,11 +4,16 @@
 // The waiting packets of one rank, in the order in which they are to be sent.
 //
 // Deficit round robin on three levels: between service addresses, then between
-// the caller addresses of a service, then between the flows of a caller. What
-// a turn sends in excess is deducted from the next turn. A service, caller or
-// flow that begins to wait gets one short first turn before those that wait
-// already, so that a request of one packet does not wait for whole turns.
-// Packets of one flow stay in order.
+// the caller addresses of a service, then between the flows of a caller. The
+// turn of a service or caller lasts until the flow that it is sending has no
+// more packets or has used up its own turn, so that no request is left half
+// sent. What a turn sends in excess is deducted from the next turn. Packets of
+// one flow stay in order.
+//
+// A service, caller or flow that begins to wait gets one short first turn
+// before those that wait already, so that a request of one packet does not wait
+// for whole turns. At most kMaxFirstTurns go first until one of the others ends
+// its turn.
 
 #include <array>
 #include <cstddef>
@@ -43,20 +48,26 @@
   TurnNode* parent = nullptr;
   std::list<TurnNode>::iterator self;
   std::int64_t turn_left = 0;  // Bytes; negative if the turn was exceeded.
+  bool is_in_first_turn = false;
 
   std::list<TurnNode> children;  // Empty in a flow. The front has the turn.
   // The first child that has had its first turn, or the end.
   std::list<TurnNode>::iterator had_first_turn = children.end();
+  // Children that went first since one of the others ended its turn.
+  int first_turns = 0;
   std::list<WaitingPacket> packets;  // Of a flow.
 };
 
 struct RankQueueSettings {
-  std::size_t turn_bytes = 0;        // Must not be 0.
+  std::size_t turn_bytes = 1;        // Of a service or caller; not 0.
+  std::size_t flow_turn_bytes = 1;   // Not 0.
   std::size_t first_turn_bytes = 0;  // 0: no first turn.
 };
 
 class RankQueue {
  public:
+  static constexpr int kMaxFirstTurns = 16;
+
   explicit RankQueue(const RankQueueSettings& settings)
       : m_settings(settings) {}
   RankQueue(const RankQueue&) = delete;
@@ -86,8 +97,11 @@
   TurnNode* FindOrAddChild(TurnNode* parent, std::size_t level,
                            const FlowKey& flow);
   TurnNode* Erase(WaitingPacket* packet);
+  // Whether a new child of `parent` goes before those that wait already.
+  bool TakeFirstTurn(TurnNode* parent) const;
   void RemoveNode(TurnNode* node);
   void EndTurn(TurnNode* node);
+  std::int64_t TurnOf(std::size_t level) const;
 
   RankQueueSettings m_settings;
   TurnNode m_root;
--- a/tests/packet_scheduler_test.cc
+++ b/tests/packet_scheduler_test.cc
@@ -144,6 +144,7 @@
 
 std::vector<FlowKey> FlowsOfCallers(std::uint32_t service, int callers) {
   std::vector<FlowKey> flows;
+  flows.reserve(callers);
   for (int i = 0; i < callers; ++i) flows.push_back(Flow(service, i, 1000));
   return flows;
 }
@@ -156,6 +157,7 @@
   CPPUNIT_TEST(ManyCallersOfOneServiceAgainstOneOfAnother);
   CPPUNIT_TEST(ManyFlowsOfOneCallerAgainstOneOfAnother);
   CPPUNIT_TEST(ShortRequestOfTheSameRankAmongUploads);
+  CPPUNIT_TEST(NewCallersOfTheSameRankAgainstAnUpload);
   CPPUNIT_TEST(CopiesOfWaitingPackets);
   CPPUNIT_TEST(LowestRankUnderContinuousLoadOfHigherOnes);
   CPPUNIT_TEST(OverdueDataUnderOpeningPackets);
@@ -210,6 +212,7 @@
     CPPUNIT_ASSERT(world.FinishedWithin(flows, kObjective) >= 6);
     PacketSchedulerSettings packet_turns;
     packet_turns.turn_bytes = kUploadBytes;
+    packet_turns.flow_turn_bytes = kUploadBytes;
     NarrowLink other(packet_turns);
     other.AddUploads(flows);
     other.Run(seconds(2));
@@ -228,6 +231,7 @@
   void ManyFlowsOfOneCallerAgainstOneOfAnother() {
     const FlowKey single = Flow(1, 100, 1);
     std::vector<FlowKey> flows;
+    flows.reserve(20);
     for (std::uint16_t i = 0; i < 20; ++i) flows.push_back(Flow(1, 1, i));
     NarrowLink world;
     world.AddUploads(flows);
@@ -248,6 +252,19 @@
                        Flow(1, 100, 1));
   }
 
+  // Guards against an upload that never has a turn, since each new caller goes
+  // first.
+  void NewCallersOfTheSameRankAgainstAnUpload() {
+    const FlowKey upload = Flow(1, 1, 1);
+    NarrowLink world;
+    world.AddUpload(upload);
+    for (std::uint32_t caller = 100; caller < 300; ++caller) {
+      world.Add(Data(Flow(1, caller, 1), 0, kLow));
+      world.Run(milliseconds(5));
+    }
+    CPPUNIT_ASSERT(world.Finished(upload).value() <= milliseconds(400));
+  }
+
   // Guards against copies that take capacity, and against a copy that moves
   // the packet that waits.
   void CopiesOfWaitingPackets() {
@@ -278,9 +295,9 @@
     std::uint32_t sequence = 0;
     while (sequence < 20) world.Add(Data(busy, sequence++, kHigh));
     world.AddUpload(upload);
-    for (int i = 0; i < 400; ++i) {
+    for (std::uint16_t i = 0; i < 400; ++i) {
       world.Add(Data(busy, sequence++, kHigh));
-      if (i % 10 == 0) world.Add(Opening(Flow(2, 2, std::uint16_t(i))));
+      if (i % 10 == 0) world.Add(Opening(Flow(2, 2, i)));
       world.Run(milliseconds(6));
     }
     int high_between = 3;
@@ -330,10 +347,10 @@
     world.Run(seconds(1));
     CPPUNIT_ASSERT_EQUAL(kHigh, world.sent.back().packet.priority);
     PacketSchedulerSettings bytes;
-    bytes.max_bytes = 5 * 1240;
+    bytes.max_bytes = 6200;  // 5 packets.
     NarrowLink small(bytes);
     small.AddUpload(upload);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{5 * 1240}, small.scheduler.bytes());
+    CPPUNIT_ASSERT_EQUAL(bytes.max_bytes, small.scheduler.bytes());
     CPPUNIT_ASSERT_EQUAL(std::size_t{9},
                          small.Dropped(ScheduleDropReason::kQueueFull));
   }
