Link model: a long-term minimum of round trips for each peer

Cause: peers differ in their distance; a window with samples of distant peers only would count as a queue on the link. Change: the model compares the excess of each round trip over the minimum of its peer.

--- a/bench/link_bench.cc
+++ b/bench/link_bench.cc
@@ -228,8 +228,9 @@
        {std::size_t{1}, std::size_t{100}, kManyFlows}) {
     std::vector<double> ns;
     ns.reserve(seeds.size());
-    for (std::size_t i = 0; i < seeds.size(); ++i)
+    for (std::size_t round = 0; round < seeds.size(); ++round) {
       ns.push_back(QueuedNs(flows));
+    }
     sink->Print("queued_ns_flows_" + std::to_string(flows), Median(ns), "ns");
   }
   sink->Print("bytes_per_flow", BytesPerFlow(), "bytes");
--- a/bench/link_orders_bench.cc
+++ b/bench/link_orders_bench.cc
@@ -2,6 +2,7 @@
 // waits by rank, requests within their objectives, lost packets.
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <string>
 #include <unordered_set>
@@ -124,7 +125,7 @@
   if (values.empty()) return 0;
   std::sort(values.begin(), values.end());
   const auto last = static_cast<double>(values.size() - 1);
-  return values[static_cast<std::size_t>(quantile * last + 0.5)];
+  return values[std::lround(quantile * last)];
 }
 
 void Add(const TraceResult& one, TraceResult* all) {
--- a/src/link_model.cc
+++ b/src/link_model.cc
@@ -47,55 +47,57 @@
   return Seconds(Backlog(now)) * m_rate * (1 - m_settings.reserve);
 }
 
-void LinkModel::OnRoundTrip(Duration round_trip, TimePoint now) {
+void LinkModel::OnRoundTrip(std::uint64_t peer, Duration round_trip,
+                            TimePoint now) {
   if (!IsLimited()) return;
   Increase(now);
-  UpdateLongTerm(round_trip, now);
+  const Duration excess = ExcessOf(peer, round_trip, now);
   if (now - m_window.began > kMaxWindow) m_window = {now, 0, Duration::max()};
   ++m_window.samples;
-  m_window.min = std::min(m_window.min, round_trip);
+  m_window.min_excess = std::min(m_window.min_excess, excess);
   if (m_window.samples < kMinSamples || now - m_window.began < kWindow) return;
   Evaluate(m_window, now);
   m_window = {now, 0, Duration::max()};
 }
 
-void LinkModel::UpdateLongTerm(Duration round_trip, TimePoint now) {
-  if (now - m_long_term_began > kLongTerm) {
-    m_long_term_began = now;
-    m_previous_long_term = m_long_term;
-    m_long_term = Duration::max();
+Duration LinkModel::ExcessOf(std::uint64_t peer, Duration round_trip,
+                             TimePoint now) {
+  if (m_peers.size() >= kMaxPeers && m_peers.count(peer) == 0) m_peers.clear();
+  PeerMinimum& minimum = m_peers[peer];
+  if (now - minimum.began > kLongTerm) {
+    minimum.began = now;
+    minimum.previous = minimum.present;
+    minimum.present = Duration::max();
   }
-  m_long_term = std::min(m_long_term, round_trip);
+  minimum.present = std::min(minimum.present, round_trip);
+  return round_trip - std::min(minimum.present, minimum.previous);
 }
 
 void LinkModel::Evaluate(const Window& window, TimePoint now) {
-  const Duration usual = std::min(m_long_term, m_previous_long_term);
+  m_usual_excess = std::min(m_usual_excess, window.min_excess);
+  const Duration excess = window.min_excess - m_usual_excess;
   const auto burst = static_cast<double>(m_settings.burst_bytes);
   const bool is_used =
       window.bytes >= kMinUse * m_rate * Seconds(now - window.began);
-  if (!is_used || window.min <= usual + kTolerance + TimeFor(burst)) {
+  if (!is_used || excess <= kTolerance + TimeFor(burst)) {
     m_flat_windows = m_unconfirmed = 0;
-    m_last_min = Duration(0);
+    m_last_excess = Duration(0);
     return;
   }
-  const bool is_falling = window.min < m_last_min - kTolerance / 2;
+  const bool is_falling = excess < m_last_excess - kTolerance / 2;
   const bool is_rising =
-      m_last_min > Duration(0) && window.min > m_last_min + kTolerance;
-  m_last_min = window.min;
+      m_last_excess > Duration(0) && excess > m_last_excess + kTolerance;
+  m_last_excess = excess;
   if (is_falling) {
     // The queue drains; an increase would keep it standing.
     m_increased_at = now + kIncreaseDelay;
-    return;
-  }
-  if (is_rising || m_unconfirmed < kUnconfirmedDecreases) {
+  } else if (is_rising || m_unconfirmed < kUnconfirmedDecreases) {
     m_unconfirmed = is_rising ? 0 : m_unconfirmed + 1;
     m_flat_windows = 0;
     Decrease(now);
-    return;
+  } else if (++m_flat_windows >= kMaxFlatWindows) {
+    m_usual_excess = window.min_excess;
   }
-  if (++m_flat_windows < kMaxFlatWindows) return;
-  m_long_term = window.min;
-  m_previous_long_term = Duration::max();
 }
 
 void LinkModel::Decrease(TimePoint now) {
--- a/src/link_model.h
+++ b/src/link_model.h
@@ -9,19 +9,20 @@
 // are handed over in advance. Without a capacity, nothing is ever held.
 //
 // The estimate starts at the capacity and follows a link that becomes narrower.
-// A queue outside this process raises every round trip, so the minimum over a
-// window is compared with the long-term minimum. One idle moment in the window
-// restores the minimum, hence bursts shorter than the window are never taken
-// for a narrow link. A decrease needs several samples and a link that is in
-// use. A constant rise, as from a slow peer or a longer path, lowers the
-// estimate by at most kUnconfirmedDecreases steps: a queue of our own would
-// grow. After kMaxFlatWindows the risen level becomes the long-term minimum.
+// A queue outside this process raises every round trip. The excess of a round
+// trip is what it exceeds the long-term minimum of its peer by; the model
+// considers the minimum excess over a window. One idle moment in the window
+// restores it, hence bursts shorter than the window are never taken for a
+// narrow link. A decrease needs several samples and a link that is in use. A
+// constant excess, as from slow peers or a longer path, lowers the estimate by
+// at most kUnconfirmedDecreases steps, since a queue of our own would grow;
+// after kMaxFlatWindows it counts as usual.
 //
 // Not thread-safe.
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
+#include <unordered_map>
 
 #include "sardinelead/types.h"
 
@@ -47,7 +48,7 @@
   static constexpr int kMinSamples = 4;
   // A window in which less of the rate was used is no evidence.
   static constexpr double kMinUse = 0.25;
-  // The rise of the minimum, beyond the time of a burst, that is tolerated.
+  // The excess, beyond the time of a burst, that is tolerated.
   static constexpr Duration kTolerance = std::chrono::milliseconds(20);
   static constexpr double kDecrease = 0.75;
   static constexpr int kUnconfirmedDecreases = 2;
@@ -56,7 +57,9 @@
   // Of the capacity per second, beginning kIncreaseDelay after a decrease.
   static constexpr double kIncreasePerSecond = 0.04;
   static constexpr Duration kIncreaseDelay = std::chrono::seconds(1);
+  // A long-term minimum covers one to two times this time.
   static constexpr Duration kLongTerm = std::chrono::minutes(1);
+  static constexpr std::size_t kMaxPeers = 64;
 
   explicit LinkModel(const LinkModelSettings& settings);
 
@@ -76,8 +79,12 @@
   // The time that the link needs for `bytes`, headers included, at the paced
   // rate.
   Duration TimeFor(double bytes) const;
-  // A round trip through the link, measured at its end.
-  void OnRoundTrip(Duration round_trip, TimePoint now);
+  // A round trip through the link to `peer`, measured at its end. Peers differ
+  // in their distance, hence each has a minimum of its own.
+  void OnRoundTrip(std::uint64_t peer, Duration round_trip, TimePoint now);
+  void OnRoundTrip(Duration round_trip, TimePoint now) {
+    OnRoundTrip(0, round_trip, now);
+  }
 
   bool IsLimited() const { return m_settings.capacity > 0; }
   double capacity() const { return m_settings.capacity; }  // NOLINT
@@ -90,12 +97,17 @@
   struct Window {
     TimePoint began;
     int samples = 0;
-    Duration min = Duration::max();
+    Duration min_excess = Duration::max();
     double bytes = 0;
   };
+  struct PeerMinimum {
+    TimePoint began;
+    Duration present = Duration::max();
+    Duration previous = Duration::max();
+  };
 
   void Increase(TimePoint now);
-  void UpdateLongTerm(Duration round_trip, TimePoint now);
+  Duration ExcessOf(std::uint64_t peer, Duration round_trip, TimePoint now);
   void Evaluate(const Window& window, TimePoint now);
   void Decrease(TimePoint now);
 
@@ -104,11 +116,9 @@
   TimePoint m_free_at;  // When the link has carried everything charged.
   TimePoint m_increased_at;
   Window m_window;
-  // Minimum of the present and of the previous period of kLongTerm.
-  Duration m_long_term = Duration::max();
-  Duration m_previous_long_term = Duration::max();
-  TimePoint m_long_term_began;
-  Duration m_last_min{0};  // Of the last window that showed a rise.
+  std::unordered_map<std::uint64_t, PeerMinimum> m_peers;
+  Duration m_usual_excess{0};
+  Duration m_last_excess{0};  // Of the last window that showed a queue, or 0.
   int m_flat_windows = 0;
   int m_unconfirmed = 0;
   std::uint64_t m_decreases = 0;
--- a/tests/link_model_test.cc
+++ b/tests/link_model_test.cc
@@ -70,6 +70,7 @@
   CPPUNIT_TEST(LongRoundTripsOnIdleLinkAreNoEvidence);
   CPPUNIT_TEST(ShortBurstsAreNoEvidence);
   CPPUNIT_TEST(FewSamplesAreNoEvidence);
+  CPPUNIT_TEST(DistantPeersDuringLoadAreNoEvidence);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -186,6 +187,20 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, link.model.decreases());
   }
+
+  // Guards against a window that only has samples of distant peers.
+  void DistantPeersDuringLoadAreNoEvidence() {
+    PacedLink link;
+    link.Run(seconds(2));
+    link.next_probe = TimePoint::max();
+    for (int i = 0; i < 200; ++i) {
+      const std::uint64_t peer = i % 40 < 20 ? 7 : 8;
+      const auto distance = milliseconds(peer == 7 ? 60 : 90);
+      link.model.OnRoundTrip(peer, distance + link.Queue(), link.now);
+      link.Run(milliseconds(50));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, link.model.decreases());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LinkModelTest);
