Round trips through the link are compared for each target

Cause: the model keeps a minimum for each peer, as peers differ in distance. Change: the balancer's opening times are passed with their target.

--- a/src/paced_sender.cc
+++ b/src/paced_sender.cc
@@ -190,7 +190,7 @@
 
 void PacedSender::OnTiming(const FlowTiming& timing, TimePoint now) {
   if (timing.step != FlowStep::kOpening) return;
-  m_link.OnRoundTrip(timing.duration, now);
+  m_link.OnRoundTrip(timing.target, timing.duration, now);
 }
 
 }  // namespace sardinelead
