--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -10,7 +10,7 @@
 
 DEFINE_string(
     area, "all",
-    "area to run: path, flows, config, routes, balance, capacity or all");
+    "area to run: path, flows, config, routes, balance, link, capacity or all");
 DEFINE_string(seeds, "1,2,3", "seeds, separated by commas");
 
 namespace sardinelead::bench {
--- a/bench/link_trace.h
+++ b/bench/link_trace.h
@@ -57,7 +57,7 @@
   int shorts = 0;
   int shorts_in_time = 0;  // Within 150 ms.
   std::uint64_t copies_sent = 0;
-  std::uint64_t lost = 0;  // Packets dropped, or given up by their callers.
+  std::uint64_t lost = 0;  // Packets not carried when their callers gave up.
 };
 
 TraceResult PlayTrace(const TraceSettings& settings, const MakeLinkOrder& make);
--- a/src/packet_scheduler.h
+++ b/src/packet_scheduler.h
@@ -65,7 +65,7 @@
 };
 
 struct PacketSchedulerHooks {
-  // Hands a datagram to the socket. The views are valid during the call.
+  // Hands a datagram to the socket. The views are valid during the call only.
   std::function<void(const Endpoint& to, ByteView head, ByteView body)> send;
   std::function<void(const ScheduledPacket& packet, Duration waited)> on_sent;
   std::function<void(const ScheduledPacket& packet, ScheduleDropReason reason)>
