Evacuations in the feed and at balancers

Targets of an evacuated data centre must get no new flows. The table reaches balancers in the feed; EvacuationFilter gives the share of new flows that avoid a target, which FlowPlacement applies. The control VMs' table is still empty.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -54,6 +54,7 @@
 #include <vector>
 
 #include "sardinelead/error.h"
+#include "sardinelead/evacuation_filter.h"
 #include "sardinelead/flow_placement.h"
 #include "sardinelead/read_progress.h"
 #include "sardinelead/route_table.h"
@@ -100,6 +101,7 @@
   kNoRoute,       // The address has no route.
   kRouteRemoved,  // The address had a route that was removed.
   kNoTarget,      // The pool has no usable target.
+  kEvacuated,     // All usable targets are in evacuated data centres.
   kUnknownCookie,  // No known target has this cookie.
   kTargetEnded,    // Another process has the address of the flow's target.
   kNotReady,       // No route table received yet.
@@ -162,6 +164,9 @@
   // assumed to have moved to another balancer or to have been abandoned. Must
   // exceed the delay of full queues.
   Duration request_timeout = std::chrono::milliseconds(1200);
+  // Time over which the share of new flows that avoid an evacuated data centre
+  // rises to 1.
+  Duration evacuation_shift{0};
   // Flow records without packets are removed after this long.
   Duration flow_idle_timeout = std::chrono::seconds(20);
   std::size_t max_flows = 200'000;
@@ -194,6 +199,9 @@
   void SetRoutes(RouteTable routes);
   // Costs as much as what changes. Fails like RouteTable::Apply().
   Result<void> ApplyRouteChange(const RouteChange& change);
+  // Ignores evacuations that are not newer than the current ones. New flows
+  // follow them from now on; flows that were forwarded stay where they are.
+  void SetEvacuations(const EvacuationReport& evacuations, TimePoint now);
   Forwarding OnPacket(const FlowPacket& packet, TimePoint now);
   // A read that began at `read_at` found no further packet. Everything read has
   // been passed to OnPacket(), and what was to be forwarded had been sent by
@@ -210,6 +218,9 @@
   std::size_t flow_count() const { return m_flows.size(); }       // NOLINT
   const FlowPlacement& placement() const { return m_placement; }  // NOLINT
   const RouteTable& routes() const { return m_routes; }           // NOLINT
+  const EvacuationTable& evacuations() const {                    // NOLINT
+    return m_evacuations.table();
+  }
 
  private:
   struct Flow {
@@ -265,6 +276,7 @@
   const TargetDirectory* m_directory;
   Hooks m_hooks;
   FlowPlacement m_placement;
+  EvacuationFilter m_evacuations;
   RouteTable m_routes;  // Version 0 before the first one.
   // Addresses whose route was removed since this process started.
   std::unordered_set<Endpoint, EndpointHash> m_removed_routes;
@@ -277,6 +289,7 @@
   // Targets that may take new flows, by pool; rebuilt periodically.
   std::unordered_map<std::string, std::vector<PlacementTarget>> m_targets;
   std::uint64_t m_targets_revision = 0;
+  std::uint64_t m_targets_evacuations = 0;  // Their version.
   TimePoint m_targets_built_at;
 };
 
--- a/include/sardinelead/evacuation.h
+++ b/include/sardinelead/evacuation.h
@@ -14,6 +14,9 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
+
+#include "sardinelead/types.h"
 
 namespace sardinelead {
 
@@ -33,6 +36,8 @@
     return m_entries;
   }
   bool IsEvacuated(const std::string& data_centre) const;
+  // The evacuated data centres.
+  std::vector<std::string> ActiveNames() const;
   // Log index of the last change of this data centre; 0 if there was none.
   std::uint64_t ChangedAt(const std::string& data_centre) const;
   // The highest log index of a change; 0 if there was none.
@@ -50,6 +55,14 @@
 
 bool operator==(const EvacuationTable& a, const EvacuationTable& b);
 
+// The table as a control VM distributes it.
+struct EvacuationReport {
+  EvacuationTable table;
+  // Time since the last change of a data centre was applied on that control VM.
+  // A data centre is left out if the VM does not know it, as after a restart.
+  std::map<std::string, Duration> ages;
+};
+
 }  // namespace sardinelead
 
 #endif  // SARDINELEAD_EVACUATION_H_
--- a/include/sardinelead/feed_follower.h
+++ b/include/sardinelead/feed_follower.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "sardinelead/error.h"
+#include "sardinelead/evacuation.h"
 #include "sardinelead/message.h"
 #include "sardinelead/route_table.h"
 #include "sardinelead/target_directory.h"
@@ -44,6 +45,10 @@
     std::function<void(NodeId source, bool is_heard)> on_source_change;
     // A malformed message was received.
     std::function<void(NodeId from, const Error& error)> on_error;
+    // Newer evacuations than those in use. Not called in control VMs, which get
+    // them by replication.
+    std::function<void(const EvacuationReport& evacuations)> on_evacuations =
+        [](const EvacuationReport&) {};
   };
 
   FeedFollower(FeedSettings settings, std::vector<NodeId> contacts,
@@ -97,6 +102,8 @@
                     TimePoint now);
   void ApplySilence(const struct SilenceReport& report, const Source& source,
                     TimePoint now);
+  // Returns whether the report must be acknowledged.
+  bool ApplyEvacuations(NodeId from, const struct FeedReport& report);
   void OnRoutes(NodeId from, ByteView bytes);
   void OnRouteChanges(NodeId from, const struct FeedRouteChanges& message);
   Result<void> ApplyRouteChange(ByteView bytes);
@@ -117,6 +124,7 @@
   Hooks m_hooks;
   std::map<NodeId, Source> m_sources;
   ConfigVersion m_version;  // Of the routes in use.
+  std::uint64_t m_evacuations_version = 0;
   std::optional<TimePoint> m_first_report_at;
   bool m_needs_whole_table = false;  // A change could not be applied.
   TimePoint m_next_routes_request_at;
--- a/include/sardinelead/feed_publisher.h
+++ b/include/sardinelead/feed_publisher.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "sardinelead/evacuation.h"
 #include "sardinelead/message.h"
 #include "sardinelead/target_directory.h"
 #include "sardinelead/target_feed.h"
@@ -23,8 +24,9 @@
   NodeId node;
   std::string data_centre;
   bool is_control = false;
-  ConfigVersion version;  // Of the routes that it has.
-  Duration silent{0};     // Time since its last poll.
+  ConfigVersion version;          // Of the routes that it has.
+  Duration silent{0};             // Time since its last poll.
+  std::uint64_t evacuations = 0;  // Version of those in force there.
 };
 
 // What a publisher has done since its start.
@@ -46,6 +48,14 @@
     std::function<ConfigVersion()> routes_version;
     // What a subscriber with version `held` lacks; 0 asks for the whole table.
     std::function<RouteUpdate(ConfigVersion held)> routes_since;
+    // Version of the evacuations; 0 if none was ever ordered.
+    std::function<std::uint64_t()> evacuations_version = [] {
+      return std::uint64_t{0};
+    };
+    // Called only if that version is not 0.
+    std::function<EvacuationReport(TimePoint now)> evacuations = [](TimePoint) {
+      return EvacuationReport{};
+    };
   };
 
   // `epoch` must differ between starts of this process. `directory` must
@@ -58,7 +68,7 @@
   // directory was updated. `is_changed` is set if the update affects balancers.
   void OnTargetAnnounced(std::uint64_t target, bool is_changed, TimePoint now);
   // Returns the reports that are due. Must be called every 20 ms, and
-  // immediately after a change of the routes.
+  // immediately after a change of the routes or the evacuations.
   Outbox OnTick(TimePoint now);
 
   // Sends reports to a node that was subscribed before this process restarted,
@@ -70,6 +80,8 @@
     return m_subscribers.size();
   }                                                            // NOLINT
   const FeedCounters& counters() const { return m_counters; }  // NOLINT
+  // Number of balancers at which the newest evacuations are in force.
+  std::size_t BalancersWithNewestEvacuations() const;
   // The last known state of each subscriber, sorted by node.
   std::vector<SubscriberStatus> Status(TimePoint now) const;
 
@@ -87,6 +99,8 @@
     TimePoint members_sent_at;  // When it was last sent the member list.
     std::uint64_t sent_revision = 0;
     ConfigVersion sent_version;
+    std::uint64_t evacuations = 0;  // Version of those that it has.
+    std::uint64_t sent_evacuations = 0;
     // Revision of the last report with changes; awaits an acknowledgment.
     std::uint64_t awaited_revision = 0;
     bool has_more = false;  // The last report did not hold all changes.
@@ -110,6 +124,9 @@
   // `is_batch_due`: whether the batch interval permits sending changes now.
   bool IsDue(const Subscriber& subscriber, ConfigVersion version,
              bool is_batch_due, TimePoint now) const;
+  // Control VMs get the evacuations by replication. What a node that was only
+  // invited has is unknown; its first poll states it.
+  bool LacksEvacuations(const Subscriber& subscriber) const;
   Duration BatchInterval() const;
   // The newest revision that is relevant to the subscriber.
   std::uint64_t LatestRevisionFor(const Subscriber& subscriber) const {
--- a/include/sardinelead/flow_placement.h
+++ b/include/sardinelead/flow_placement.h
@@ -10,7 +10,8 @@
 // is warming up; a target that crashed; a target that accepts requests but
 // answers none; random load peaks that look like a full data centre; more load
 // in the data centre than its targets have slots; no local targets; and all
-// targets unresponsive at once, for example when the balancer is partitioned.
+// targets unresponsive at once, for example when the balancer is partitioned;
+// an evacuated data centre, whose flows move to the others.
 //
 // Performs no I/O and reads no clock. Not thread-safe. Choose() costs one pass
 // over the pool's targets.
@@ -64,6 +65,9 @@
   bool is_local = false;  // In the balancer's data centre.
   bool is_warming_up = false;
   TimePoint heard_at;  // Last heartbeat, or earlier.
+  // Share of new flows that avoid this target; empty if its data centre is not
+  // evacuated. See EvacuationFilter.
+  std::optional<double> avoided_share;
 };
 
 // Statistics on one target, from this balancer's flows.
@@ -93,8 +97,9 @@
   explicit FlowPlacement(const PlacementSettings& settings)
       : m_settings(settings) {}
 
-  // Returns nothing if `targets` is empty. `balancers` is the number of
-  // balancers that share the data centre's flows.
+  // Returns nothing if `targets` is empty or holds only targets of evacuated
+  // data centres. `balancers` is the number of balancers that share the data
+  // centre's flows.
   std::optional<std::uint64_t> Choose(
       const std::vector<PlacementTarget>& targets, std::size_t balancers,
       std::uint64_t random, TimePoint now);
--- a/include/sardinelead/target_feed.h
+++ b/include/sardinelead/target_feed.h
@@ -16,6 +16,11 @@
 // subscribed to its sender, so a balancer that knows one of them learns of the
 // others.
 //
+// A poll also states the version of the evacuations that the balancer has. A
+// control VM with a newer version adds its whole table to each report, at once
+// after a change and again until a poll acknowledges it. Balancers keep the
+// table with the highest version.
+//
 // Targets that a control VM knows only from other control VMs are sent only to
 // subscribers that have just started. Thus a new subscriber gets all targets
 // from whichever control VM answers first, while each side of a partition
--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -21,7 +21,9 @@
              return members;
            },
            [this] { return m_routes.version(); },
-           [this](ConfigVersion held) { return m_routes.UpdateFrom(held); }}),
+           [this](ConfigVersion held) { return m_routes.UpdateFrom(held); },
+           [] { return std::uint64_t{0}; },
+           [](TimePoint) { return EvacuationReport{}; }}),
       m_follower(m_settings.feed, m_settings.replica.contacts, &m_directory,
                  FollowerHooks()) {}
 
@@ -37,9 +39,11 @@
 
 FeedFollower::Hooks ControlPlane::FollowerHooks() const {
   FeedFollower::Hooks hooks;
-  // Routes are received through replication, not through the feed.
+  // Routes and evacuations are received through replication, not through the
+  // feed.
   hooks.on_routes = [](const RouteTable&) {};
   hooks.on_route_change = [](const RouteChange&) { return Result<void>{}; };
+  hooks.on_evacuations = [](const EvacuationReport&) {};
   hooks.on_source_change = [](NodeId, bool) {};
   hooks.on_error = [this](NodeId, const Error& error) {
     m_hooks.on_error(error);
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -36,6 +36,8 @@
       return "route-removed";
     case ForwardReason::kNoTarget:
       return "no-target";
+    case ForwardReason::kEvacuated:
+      return "evacuated";
     case ForwardReason::kUnplacedCopy:
       return "unplaced-copy";
     case ForwardReason::kUnknownCookie:
@@ -69,7 +71,8 @@
     : m_settings(std::move(settings)),
       m_directory(directory),
       m_hooks(std::move(hooks)),
-      m_placement(m_settings.placement) {}
+      m_placement(m_settings.placement),
+      m_evacuations(m_settings.evacuation_shift) {}
 
 void CookieBalancer::SetRoutes(RouteTable routes) {
   if (!(m_routes.version < routes.version)) return;
@@ -97,6 +100,11 @@
   m_removed_routes.insert(address);
 }
 
+void CookieBalancer::SetEvacuations(const EvacuationReport& evacuations,
+                                    TimePoint now) {
+  m_evacuations.Set(evacuations, now, m_hooks.covered_time());
+}
+
 Forwarding CookieBalancer::OnPacket(const FlowPacket& packet, TimePoint now) {
   if (m_routes.version.value == 0) {
     Forwarding out;
@@ -161,6 +169,8 @@
       m_placement.Choose(targets, m_hooks.balancers(), m_hooks.random(), now);
   const TargetDirectory::Entry* entry =
       chosen ? m_directory->Find(*chosen) : nullptr;
+  const bool is_evacuated = !chosen && !targets.empty();
+  if (is_evacuated) return MakeReset(packet, ForwardReason::kEvacuated);
   if (entry == nullptr) {
     Forwarding out = MakeReset(packet, ForwardReason::kNoTarget);
     if (m_hooks.is_gathering()) out.action = ForwardAction::kHold;
@@ -333,7 +343,8 @@
   return m_hooks.covered_time() - entry.heard_at <= m_settings.lease;
 }
 
-// Lists the targets with a valid lease. A pool without any such target uses its
+// Lists the targets with a valid lease, including those of evacuated data
+// centres, which FlowPlacement avoids. A pool without any such target uses its
 // expired ones: if all leases expire at once, the likely cause is the path of
 // the heartbeats, not the targets.
 void CookieBalancer::RebuildTargetLists(TimePoint now) {
@@ -344,8 +355,11 @@
     PlacementTarget target;
     target.number = number;
     target.slots = entry.announcement.slots;
-    target.is_local = entry.announcement.data_centre == m_settings.data_centre;
-    target.is_warming_up = m_hooks.covered_time() < entry.warm_at;
+    const std::string& data_centre = entry.announcement.data_centre;
+    target.is_local = data_centre == m_settings.data_centre;
+    target.is_warming_up = m_hooks.covered_time() < entry.warm_at ||
+                           m_evacuations.IsCold(data_centre, entry.heard_at);
+    target.avoided_share = m_evacuations.AvoidedShare(data_centre, now);
     target.heard_at = now - (m_hooks.covered_time() - entry.heard_at);
     auto& list = HasValidLease(entry) ? m_targets : silent;
     list[entry.announcement.pool].push_back(target);
@@ -355,11 +369,14 @@
 
 const std::vector<PlacementTarget>& CookieBalancer::TargetsInPool(
     const std::string& pool, TimePoint now) {
+  const std::uint64_t evacuations = m_evacuations.table().version();
   const bool is_current = m_targets_revision == m_directory->revision() &&
+                          m_targets_evacuations == evacuations &&
                           now - m_targets_built_at < kTargetListMaxAge;
   if (!is_current) {
     RebuildTargetLists(now);
     m_targets_revision = m_directory->revision();
+    m_targets_evacuations = evacuations;
     m_targets_built_at = now;
   }
   return m_targets[pool];
--- a/src/evacuation.cc
+++ b/src/evacuation.cc
@@ -9,6 +9,14 @@
   return found != m_entries.end() && found->second.is_active;
 }
 
+std::vector<std::string> EvacuationTable::ActiveNames() const {
+  std::vector<std::string> names;
+  for (const auto& [data_centre, evacuation] : m_entries) {
+    if (evacuation.is_active) names.push_back(data_centre);
+  }
+  return names;
+}
+
 std::uint64_t EvacuationTable::ChangedAt(const std::string& data_centre) const {
   const auto found = m_entries.find(data_centre);
   return found == m_entries.end() ? 0 : found->second.changed_at;
--- a/src/feed_follower.cc
+++ b/src/feed_follower.cc
@@ -50,6 +50,7 @@
   poll.is_control = m_settings.is_control;
   poll.data_centre = m_settings.data_centre;
   poll.accepts_changes = !m_needs_whole_table;
+  poll.evacuations = m_evacuations_version;
   return {to, MessageKind::kFeed, poll.Encode()};
 }
 
@@ -102,6 +103,7 @@
   m_balancers = std::max<std::size_t>(report.balancers, 1);
   for (const NodeId member : report.members) AddSource(member);
   if (!report.members.empty()) m_members = report.members;
+  const bool has_evacuations = ApplyEvacuations(from, report);
   const auto changed = DecodeTargets(*report.changed);
   if (!changed) return m_hooks.on_error(from, changed.error());
   if (changed->unreadable > 0) {
@@ -121,7 +123,8 @@
     source.revision = std::max(source.revision, report.revision);
   }
   const bool has_changes = !changed->targets.empty() || changed->unreadable > 0;
-  const bool must_poll = has_changes || !is_contiguous || is_new_start;
+  const bool must_poll =
+      has_changes || !is_contiguous || is_new_start || has_evacuations;
   const bool wants_routes =
       m_version < report.version && TakeRoutesRequest(now);
   if (must_poll || wants_routes) {
@@ -131,6 +134,21 @@
   NotifySourceChanges(now);
 }
 
+bool FeedFollower::ApplyEvacuations(NodeId from, const FeedReport& report) {
+  if (report.evacuations.empty() || m_settings.is_control) return false;
+  const auto evacuations = DecodeEvacuations(report.evacuations);
+  if (!evacuations) {
+    m_hooks.on_error(from, evacuations.error());
+    return false;
+  }
+  const std::uint64_t version = evacuations->table.version();
+  if (version > m_evacuations_version) {
+    m_evacuations_version = version;
+    m_hooks.on_evacuations(*evacuations);
+  }
+  return true;
+}
+
 void FeedFollower::ApplyTargets(const std::vector<ReportedTarget>& targets,
                                 Source* source, TimePoint now) {
   for (const ReportedTarget& target : targets) {
--- a/src/feed_message.cc
+++ b/src/feed_message.cc
@@ -1,9 +1,11 @@
 #include "feed_message.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
 #include "cbor.h"
+#include "evacuation_encoding.h"
 
 namespace sardinelead {
 namespace {
@@ -111,6 +113,7 @@
   poll.is_control = reader->Number() != 0;
   poll.data_centre = reader->Text();
   if (!reader->AtEnd()) poll.accepts_changes = reader->Number() != 0;
+  if (!reader->AtEnd()) poll.evacuations = reader->Number();
   if (!reader->ok()) return MalformedError("a poll");
   return poll;
 }
@@ -143,6 +146,7 @@
   if (!ReadSilence(reader->Array(), &report.silence)) {
     return MalformedError("the silence of targets");
   }
+  if (!reader->AtEnd()) report.evacuations = reader->Blob();
   if (!reader->ok()) return MalformedError("a report");
   return report;
 }
@@ -179,20 +183,55 @@
          announcement.data_centre.size();
 }
 
+// Encodes the table and, in its order, the age of each entry, null if unknown.
+Bytes EncodeEvacuations(const EvacuationReport& evacuations) {
+  json ages = json::array();
+  for (const auto& [data_centre, evacuation] : evacuations.table.entries()) {
+    const auto age = evacuations.ages.find(data_centre);
+    const bool is_known = age != evacuations.ages.end();
+    ages.push_back(is_known ? json(ToMs(age->second)) : json());
+  }
+  return ToCbor(json::array({ToJson(evacuations.table), std::move(ages)}));
+}
+
+Result<EvacuationReport> DecodeEvacuations(ByteView bytes) {
+  const json root = FromCbor(bytes);
+  CborArrayReader reader(root);
+  const auto table = EvacuationsFromJson(reader.Array());
+  const json& ages = reader.Array();
+  const bool is_valid =
+      reader.ok() && table && ages.size() == table->entries().size();
+  if (!is_valid) return MalformedError("evacuations");
+  EvacuationReport evacuations{*table, {}};
+  std::size_t next = 0;
+  for (const auto& [data_centre, evacuation] : table->entries()) {
+    const json& age = ages[next++];
+    if (age.is_null()) continue;
+    if (!age.is_number_unsigned()) return MalformedError("an evacuation's age");
+    evacuations.ages[data_centre] =
+        milliseconds(std::min(age.get<std::uint64_t>(), kMaxDurationMs));
+  }
+  return evacuations;
+}
+
 Bytes FeedPoll::Encode() const {
-  return ToCbor(json::array({TypeNumber(FeedType::kPoll), epoch, revision,
+  json fields = json::array({TypeNumber(FeedType::kPoll), epoch, revision,
                              version.value, ToNumber(wants_routes),
                              ToNumber(wants_all_targets), ToNumber(is_control),
-                             data_centre, ToNumber(accepts_changes)}));
+                             data_centre, ToNumber(accepts_changes)});
+  if (evacuations != 0) fields.push_back(evacuations);
+  return ToCbor(fields);
 }
 
 Bytes FeedReport::Encode() const {
   json member_list = json::array();
   for (const NodeId member : members) member_list.push_back(member.value);
-  return ToCbor(
+  json fields =
       json::array({TypeNumber(FeedType::kReport), epoch, revision, base,
                    ToNumber(has_more), version.value, data_centre, balancers,
-                   std::move(member_list), Binary(*changed), ToJson(silence)}));
+                   std::move(member_list), Binary(*changed), ToJson(silence)});
+  if (!evacuations.empty()) fields.push_back(Binary(evacuations));
+  return ToCbor(fields);
 }
 
 Bytes FeedRoutes::Encode() const {
--- a/src/feed_message.h
+++ b/src/feed_message.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "sardinelead/error.h"
+#include "sardinelead/evacuation.h"
 #include "sardinelead/target_directory.h"
 #include "sardinelead/types.h"
 
@@ -37,6 +38,9 @@
   // The subscriber reads FeedRouteChanges; earlier versions do not send this
   // field.
   bool accepts_changes = false;
+  // Version of the evacuations that the subscriber has. Not sent if 0, as by
+  // earlier versions.
+  std::uint64_t evacuations = 0;
 
   Bytes Encode() const;
 };
@@ -77,6 +81,9 @@
 // Returns kMalformed if the bytes are not a list.
 Result<DecodedTargets> DecodeTargets(ByteView bytes);
 
+Bytes EncodeEvacuations(const EvacuationReport& evacuations);
+Result<EvacuationReport> DecodeEvacuations(ByteView bytes);
+
 // Sent by a control VM to a subscriber.
 struct FeedReport {
   std::uint64_t epoch = 0;
@@ -92,6 +99,9 @@
   // EncodeTargets() of the changed targets, shared by many subscribers.
   std::shared_ptr<const Bytes> changed = EncodeTargets({});
   std::optional<SilenceReport> silence;
+  // Output of EncodeEvacuations(); empty if omitted. It is decoded separately,
+  // so that evacuations that cannot be read do not hide the targets.
+  Bytes evacuations;
 
   Bytes Encode() const;
 };
--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -51,6 +51,7 @@
   subscriber.wants_all_targets = poll->wants_all_targets;
   subscriber.is_control = poll->is_control;
   subscriber.version = poll->version;
+  subscriber.evacuations = poll->evacuations;
   subscriber.polled_at = now;
   subscriber.acknowledged = poll->epoch == m_epoch ? poll->revision : 0;
   Outbox out;
@@ -160,11 +161,27 @@
   std::vector<SubscriberStatus> all;
   for (const auto& [id, subscriber] : m_subscribers) {
     all.push_back({id, subscriber.data_centre, subscriber.is_control,
-                   subscriber.version, now - subscriber.polled_at});
+                   subscriber.version, now - subscriber.polled_at,
+                   subscriber.evacuations});
   }
   return all;
 }
 
+std::size_t FeedPublisher::BalancersWithNewestEvacuations() const {
+  const auto count = std::count_if(
+      m_subscribers.begin(), m_subscribers.end(), [this](const auto& item) {
+        const Subscriber& subscriber = item.second;
+        return subscriber.has_polled && !subscriber.is_control &&
+               !LacksEvacuations(subscriber);
+      });
+  return static_cast<std::size_t>(count);
+}
+
+bool FeedPublisher::LacksEvacuations(const Subscriber& subscriber) const {
+  return subscriber.has_polled && !subscriber.is_control &&
+         subscriber.evacuations < m_hooks.evacuations_version();
+}
+
 Duration FeedPublisher::BatchInterval() const {
   const auto subscribers = static_cast<Duration::rep>(m_subscribers.size());
   const Duration paced_interval =
@@ -176,14 +193,19 @@
 bool FeedPublisher::IsDue(const Subscriber& subscriber, ConfigVersion version,
                           bool is_batch_due, TimePoint now) const {
   if (now - subscriber.silence_at >= m_settings.report_interval) return true;
+  const bool lacks_evacuations = LacksEvacuations(subscriber);
+  const bool has_unsent_evacuations =
+      lacks_evacuations &&
+      subscriber.sent_evacuations < m_hooks.evacuations_version();
   const bool has_urgent = subscriber.sent_revision < m_urgent_revision ||
                           subscriber.sent_version < version ||
-                          subscriber.awaits_batch;
+                          subscriber.awaits_batch || has_unsent_evacuations;
   const bool is_in_flight =
       !subscriber.has_polled ||
       subscriber.acknowledged < subscriber.awaited_revision;
   if (has_urgent && !is_in_flight) return is_batch_due;
-  if (!is_in_flight && !(subscriber.version < version)) return false;
+  const bool is_behind = subscriber.version < version || lacks_evacuations;
+  if (!is_in_flight && !is_behind) return false;
   const Duration retransmit_after =
       std::max(m_settings.retransmit_interval, BatchInterval());
   return now - subscriber.reported_at >=
@@ -226,8 +248,11 @@
 
 OutgoingMessage FeedPublisher::MakeReport(NodeId id, Subscriber* subscriber,
                                           TimePoint now) {
+  const std::uint64_t evacuations = m_hooks.evacuations_version();
+  const bool lacks_evacuations = LacksEvacuations(*subscriber);
   const bool is_retransmission =
-      subscriber->acknowledged < subscriber->awaited_revision;
+      subscriber->acknowledged < subscriber->awaited_revision ||
+      (lacks_evacuations && subscriber->sent_evacuations == evacuations);
   FeedReport report;
   report.epoch = m_epoch;
   report.base = subscriber->acknowledged;
@@ -246,6 +271,10 @@
     if (changes.count > 0) subscriber->awaited_revision = changes.revision;
     m_counters.changes_sent += changes.count;
   }
+  if (lacks_evacuations) {
+    report.evacuations = EncodeEvacuations(m_hooks.evacuations(now));
+    subscriber->sent_evacuations = evacuations;
+  }
   const bool sends_silence =
       now - subscriber->silence_at >= m_settings.report_interval;
   if (sends_silence) {
--- a/src/flow_placement.cc
+++ b/src/flow_placement.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include "sardinelead/evacuation_filter.h"
+
 namespace sardinelead {
 namespace {
 
@@ -56,6 +58,10 @@
 std::optional<std::uint64_t> FlowPlacement::Choose(
     const std::vector<PlacementTarget>& targets, std::size_t balancers,
     std::uint64_t random, TimePoint now) {
+  const bool is_evacuated = std::all_of(
+      targets.begin(), targets.end(),
+      [](const PlacementTarget& t) { return t.avoided_share.has_value(); });
+  if (is_evacuated) return std::nullopt;
   BestTarget local(random);
   BestTarget remote(random);
   BestTarget suspect(random);
@@ -63,6 +69,10 @@
   double local_waiting = 0;
   double local_slots = 0;
   for (const PlacementTarget& target : targets) {
+    // Neither load nor probes nor the last resort bring a flow there.
+    const bool is_avoided =
+        target.avoided_share && AvoidsEvacuated(*target.avoided_share, random);
+    if (is_avoided) continue;
     TargetStats& view = m_views[target.number];
     if (IsSuspect(target.number, now)) {
       if (IsProbeDue(target, view, now)) {
--- a/src/status_page.cc
+++ b/src/status_page.cc
@@ -41,6 +41,8 @@
   return {{"ready", feed.IsReady(now)},
           {"version", feed.version().value},
           {"flows", balancer.flow_count()},
+          {"evacuated", balancer.evacuations().ActiveNames()},
+          {"evacuation_version", balancer.evacuations().version()},
           {"balancers_in_data_centre", feed.balancers()},
           {"controls", std::move(controls)},
           {"targets", std::move(targets)}};
@@ -61,6 +63,7 @@
     list.push_back({{"address", address_of(subscriber.node)},
                     {"data_centre", subscriber.data_centre},
                     {"version", subscriber.version.value},
+                    {"evacuation_version", subscriber.evacuations},
                     {"silent_ms", Milliseconds(subscriber.silent)}});
   }
   json targets = json::array();
--- a/tests/flow_placement_test.cc
+++ b/tests/flow_placement_test.cc
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdlib>
 #include <deque>
 #include <map>
 #include <random>
@@ -32,6 +33,8 @@
   CPPUNIT_TEST(RandomRequestPeaksAreNotOverload);
   CPPUNIT_TEST(ABurstSpillsBeforeItsFirstAnswers);
   CPPUNIT_TEST(NoLocalTargets);
+  CPPUNIT_TEST(EvacuatedDataCentreMovesToOthersBySlots);
+  CPPUNIT_TEST(EvacuatedTargetsAreNoLastResort);
   CPPUNIT_TEST(SlowTargetsGetFewerFlows);
   CPPUNIT_TEST(UnresponsiveTargetDoesNotLookIdle);
   CPPUNIT_TEST(RecoveredTargetRegainsItsShare);
@@ -190,6 +193,39 @@
     CPPUNIT_ASSERT(!m_placement.Choose({}, 1, m_random(), m_now).has_value());
   }
 
+  // The local targets 1 and 2 are evacuated gradually, under a load that does
+  // not spill. Targets 3 and 4 have two slots each, in another data centre than
+  // target 5 with four.
+  void EvacuatedDataCentreMovesToOthersBySlots() {
+    std::vector<PlacementTarget> targets = {
+        MakeTarget(1), MakeTarget(2), MakeTarget(3, false, 2),
+        MakeTarget(4, false, 2), MakeTarget(5, false, 4)};
+    for (int quarters = 0; quarters <= 4; ++quarters) {
+      setUp();
+      SustainRequests(1, 1);
+      for (int i : {0, 1}) targets[i].avoided_share = quarters / 4.0;
+      auto flows = OpenMany(targets, 1600);
+      const int moved = 400 * quarters;
+      CPPUNIT_ASSERT(std::abs(flows[3] + flows[4] + flows[5] - moved) <= 60);
+      CPPUNIT_ASSERT(std::abs(flows[3] - flows[4]) <= 2);
+      CPPUNIT_ASSERT(std::abs(flows[3] + flows[4] - flows[5]) <= 4);
+      CPPUNIT_ASSERT(quarters < 4 || flows[1] + flows[2] == 0);
+    }
+  }
+
+  // All others are suspect and the evacuated target is due for a probe.
+  void EvacuatedTargetsAreNoLastResort() {
+    std::vector<PlacementTarget> targets = {MakeTarget(1), MakeTarget(2)};
+    Open(targets);
+    Open(targets);
+    m_now += std::chrono::seconds(1);
+    targets[0].heard_at = m_now;
+    targets[0].avoided_share = 1;
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, Open(targets));
+    targets[1].avoided_share = 0;
+    CPPUNIT_ASSERT(!m_placement.Choose(targets, 1, m_random(), m_now));
+  }
+
   // Requests at target 1 take five times as long, so more of them wait there.
   void SlowTargetsGetFewerFlows() {
     const std::vector<PlacementTarget> targets = {MakeTarget(1), MakeTarget(2),
