A target that becomes cold without a restart is announced to balancers

Balancers get announcements only when they change, and the remaining time of a warm-up did not count as a change, so a target that became cold while its data centre was evacuated looked warm to them after the end of the evacuation.

--- a/include/sardinelead/target_directory.h
+++ b/include/sardinelead/target_directory.h
@@ -59,7 +59,7 @@
 enum class AnnouncementEffect : std::uint8_t {
   kStale,    // Older than the known announcement; ignored.
   kRenewed,  // The target is alive; nothing relevant changed.
-  kChanged,  // A field that balancers act on changed.
+  kChanged,  // A field that balancers act on changed, or it became cold again.
   kForeign,  // For a pool that is not configured, with the number of a target
              // of a configured one; ignored.
 };
--- a/src/target_directory.cc
+++ b/src/target_directory.cc
@@ -18,6 +18,14 @@
          a.data_centre == b.data_centre && a.slots == b.slots;
 }
 
+// Whether the target became cold again without a restart. Balancers get
+// announcements only when they change, so they would not learn of it.
+bool HasBecomeCold(const TargetDirectory::Entry& entry,
+                   const TargetAnnouncement& received, TimePoint heard_at) {
+  return received.warm_up_left > Duration{0} && entry.warm_at <= heard_at &&
+         IsOlder(entry.announcement, received);
+}
+
 // Removes the entry of target `number` under `key`.
 template <typename Index, typename Key>
 void RemoveFromIndex(const Key& key, std::uint64_t number, Index* index) {
@@ -95,7 +103,10 @@
   const bool is_ended = entry->announcement.state == AnnouncedState::kEnded &&
                         entry->announcement.started_ms == received.started_ms;
   if (is_ended) return AnnouncementEffect::kStale;
-  if (!IsEquivalentForBalancers(entry->announcement, received)) {
+  const bool is_changed =
+      !IsEquivalentForBalancers(entry->announcement, received) ||
+      HasBecomeCold(*entry, received, heard_at);
+  if (is_changed) {
     return Replace(entry, received, heard_at);
   }
   entry->announcement = received;
--- a/tests/target_directory_test.cc
+++ b/tests/target_directory_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(NewestTargetOwnsTheAddress);
   CPPUNIT_TEST(DelayedNewsDoesNotReviveAnEndedTarget);
   CPPUNIT_TEST(RenewalKeepsTheRevision);
+  CPPUNIT_TEST(TargetThatBecomesColdHasChanged);
   CPPUNIT_TEST(SilentTargetsAreForgotten);
   CPPUNIT_TEST(EntryOfAnUnknownPoolEndsNoTarget);
   CPPUNIT_TEST(EntryOfAnUnknownPoolReplacesNoTarget);
@@ -124,6 +125,18 @@
     CPPUNIT_ASSERT(m_directory.Find(1)->heard_at == m_now + 2 * kSecond);
   }
 
+  // Guards against balancers that take it for warm; it did not restart.
+  void TargetThatBecomesColdHasChanged() {
+    m_directory.Take(MakeNews(1, 100, 1, "10.0.0.1:80"), m_now);
+    TargetAnnouncement cold = MakeNews(1, 100, 2, "10.0.0.1:80");
+    cold.warm_up_left = 2 * kSecond;
+    CPPUNIT_ASSERT(m_directory.Take(cold, m_now) ==
+                   AnnouncementEffect::kChanged);
+    cold.sequence = 3;
+    CPPUNIT_ASSERT(m_directory.Take(cold, m_now + kSecond) ==
+                   AnnouncementEffect::kRenewed);
+  }
+
   void SilentTargetsAreForgotten() {
     m_directory.Take(MakeNews(1, 100, 1, "10.0.0.1:80"), m_now);
     m_directory.RemoveSilent(10 * kSecond, m_now + 9 * kSecond);
