--- /dev/null
+++ b/src/register_snapshot.cc
@@ -0,0 +1,115 @@
+// The snapshot of the register's state.
+
+#include <utility>
+
+#include "cbor.h"
+#include "register_state.h"
+
+namespace sardinelead {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint64_t kStateFormatVersion = 2;
+
+json OutcomeToJson(const Outcome& outcome) {
+  return json::array({static_cast<std::uint64_t>(outcome.kind),
+                      outcome.version.value,
+                      static_cast<std::uint64_t>(outcome.error.code),
+                      outcome.error.message, outcome.error.path});
+}
+
+Outcome ReadOutcome(CborArrayReader* reader) {
+  Outcome outcome;
+  CborArrayReader fields(reader->Array());
+  outcome.kind = static_cast<OutcomeKind>(fields.Number());
+  outcome.version.value = fields.Number();
+  outcome.error.code = static_cast<ErrorCode>(fields.Number());
+  outcome.error.message = fields.Text();
+  outcome.error.path = fields.Text();
+  return outcome;
+}
+
+}  // namespace
+
+Bytes RegisterState::Encode() const {
+  json members = json::array();
+  for (const auto& [member, store] : m_members) {
+    members.push_back(json::array({member.value, store}));
+  }
+  json outcomes = json::array();
+  for (const std::string& key : m_outcome_order) {
+    const StoredOutcome& stored = m_outcomes.at(key);
+    outcomes.push_back(
+        json::array({Binary(Bytes(key.begin(), key.end())), stored.content_hash,
+                     stored.base, OutcomeToJson(stored.outcome)}));
+  }
+  json history = json::array();
+  for (std::size_t i = 0; i < m_history.size(); ++i) {
+    const PatchRecord& record = m_history[i];
+    history.push_back(
+        json::array({record.version.value, record.operator_name,
+                     ToJson(record.patch), m_history_record_bytes[i]}));
+  }
+  const json evicted =
+      m_max_evicted_base ? json::array({*m_max_evicted_base}) : json::array();
+  return ToCbor(json::array(
+      {kStateFormatVersion, m_cluster, m_index, ToJson(*m_configuration),
+       std::move(members), std::move(outcomes), std::move(history), evicted,
+       m_document.version.value, Binary(*m_document.content)}));
+}
+
+std::optional<RegisterState> RegisterState::Decode(ByteView bytes) {
+  const json root = FromCbor(bytes);
+  CborArrayReader reader(root);
+  RegisterState state;
+  if (reader.Number() != kStateFormatVersion) return std::nullopt;
+  state.m_cluster = reader.Number();
+  state.m_index = reader.Number();
+  const json* configuration = reader.Next();
+  if (configuration == nullptr) return std::nullopt;
+  auto parsed = ConfigurationFromJson(*configuration);
+  if (!parsed) return std::nullopt;
+  state.m_configuration = std::make_shared<Configuration>(std::move(*parsed));
+  bool is_valid = true;
+  for (const json& item : reader.Array()) {
+    CborArrayReader fields(item);
+    const NodeId member{static_cast<std::uint32_t>(fields.Number())};
+    state.m_members[member] = fields.Number();
+    is_valid = is_valid && fields.ok();
+  }
+  for (const json& item : reader.Array()) {
+    CborArrayReader fields(item);
+    const Bytes raw_key = fields.Blob();
+    const std::string key(raw_key.begin(), raw_key.end());
+    StoredOutcome stored;
+    stored.content_hash = fields.Number();
+    stored.base = fields.Number();
+    stored.outcome = ReadOutcome(&fields);
+    is_valid = is_valid && fields.ok();
+    state.StoreOutcome(key, std::move(stored));
+  }
+  for (const json& item : reader.Array()) {
+    CborArrayReader fields(item);
+    const ConfigVersion version{fields.Number()};
+    std::string operator_name = fields.Text();
+    const json* content = fields.Next();
+    const std::size_t size = fields.Number();
+    auto patch = content == nullptr ? Fail(ErrorCode::kMalformed, "no patch")
+                                    : PatchFromJson(*content);
+    is_valid = is_valid && fields.ok() && patch;
+    if (!is_valid) break;
+    state.m_history.push_back(
+        {version, std::move(operator_name), std::move(*patch)});
+    state.m_history_record_bytes.push_back(size);
+    state.m_history_bytes += size;
+  }
+  CborArrayReader evicted(reader.Array());
+  if (!evicted.AtEnd()) state.m_max_evicted_base = evicted.Number();
+  state.m_document.version = ConfigVersion{reader.Number()};
+  state.m_document.content = std::make_shared<const Bytes>(reader.Blob());
+  if (!reader.ok() || !reader.AtEnd() || !is_valid) return std::nullopt;
+  return state;
+}
+
+}  // namespace sardinelead
--- a/src/register_state.cc
+++ b/src/register_state.cc
@@ -18,7 +18,6 @@
 constexpr std::size_t kMaxEvictionSteps = 1000;
 constexpr std::uint64_t kNeverEvicted =
     std::numeric_limits<std::uint64_t>::max();
-constexpr std::uint64_t kStateFormatVersion = 2;
 
 std::uint64_t ContentHash(const Command& command) {
   const auto* text = reinterpret_cast<const char*>(command.content.data());
@@ -26,24 +25,6 @@
                   static_cast<std::uint64_t>(command.kind));
 }
 
-json OutcomeToJson(const Outcome& outcome) {
-  return json::array({static_cast<std::uint64_t>(outcome.kind),
-                      outcome.version.value,
-                      static_cast<std::uint64_t>(outcome.error.code),
-                      outcome.error.message, outcome.error.path});
-}
-
-Outcome ReadOutcome(CborArrayReader* reader) {
-  Outcome outcome;
-  CborArrayReader fields(reader->Array());
-  outcome.kind = static_cast<OutcomeKind>(fields.Number());
-  outcome.version.value = fields.Number();
-  outcome.error.code = static_cast<ErrorCode>(fields.Number());
-  outcome.error.message = fields.Text();
-  outcome.error.path = fields.Text();
-  return outcome;
-}
-
 std::string DescribeReplica(NodeId id) {
   return "replica " + std::to_string(id.value);
 }
@@ -60,80 +41,6 @@
 
 }  // namespace
 
-std::string OutcomeKey(const Command& command) {
-  const char kind = static_cast<char>('0' + static_cast<int>(command.kind));
-  return std::string(1, kind) + command.operator_name + '\0' + command.id;
-}
-
-ConfigVersion DocumentVersion(const Command& command) {
-  return ConfigVersion{std::strtoull(command.id.c_str(), nullptr, 10)};
-}
-
-Command MakePatchCommand(const std::string& operator_name, const Patch& patch) {
-  return {CommandKind::kPatch, operator_name, patch.id, ToCbor(ToJson(patch))};
-}
-
-Command MakeChangeCommand(const std::string& operator_name,
-                          const ReplicaChange& change) {
-  json content = json::array({change.remove.value, change.add.value});
-  const bool is_conditional =
-      change.remove_store != 0 || change.min_remaining != 0;
-  if (is_conditional) {
-    content.push_back(change.remove_store);
-    content.push_back(change.min_remaining);
-  }
-  return {CommandKind::kReplicaChange, operator_name, change.id,
-          ToCbor(content)};
-}
-
-Command MakeJoinCommand(NodeId replica, std::uint64_t store) {
-  const json content = json::array({replica.value, store});
-  return {CommandKind::kJoin, std::to_string(replica.value),
-          std::to_string(store), ToCbor(content)};
-}
-
-Command MakeAddAndJoinCommand(NodeId replica, std::uint64_t store,
-                              NodeId replaced) {
-  const json content = json::array({replica.value, store, replaced.value});
-  return {CommandKind::kAddAndJoin, std::to_string(replica.value),
-          std::to_string(store), ToCbor(content)};
-}
-
-Command MakeDocumentCommand(const Document& document) {
-  return {CommandKind::kDocument, "", std::to_string(document.version.value),
-          *document.content};
-}
-
-Bytes EncodeCommands(const std::vector<Command>& commands) {
-  json list = json::array();
-  for (const Command& command : commands) {
-    list.push_back(json::array({static_cast<std::uint64_t>(command.kind),
-                                command.operator_name, command.id,
-                                Binary(command.content)}));
-  }
-  return ToCbor(list);
-}
-
-std::optional<std::vector<Command>> DecodeCommands(ByteView bytes) {
-  const json list = FromCbor(bytes);
-  if (!list.is_array()) return std::nullopt;
-  std::vector<Command> commands;
-  for (const json& item : list) {
-    CborArrayReader reader(item);
-    Command command;
-    const std::uint64_t kind = reader.Number();
-    command.kind = static_cast<CommandKind>(kind);
-    command.operator_name = reader.Text();
-    command.id = reader.Text();
-    command.content = reader.Blob();
-    const bool is_known_kind =
-        kind <= static_cast<std::uint64_t>(CommandKind::kAddAndJoin);
-    if (!reader.ok() || !reader.AtEnd() || !is_known_kind) return std::nullopt;
-    commands.push_back(std::move(command));
-  }
-  return commands;
-}
-
 RegisterState::RegisterState(std::uint64_t cluster,
                              const std::vector<NodeId>& members, NodeId first,
                              std::uint64_t first_store)
@@ -395,84 +302,4 @@
   return Accepted();
 }
 
-Bytes RegisterState::Encode() const {
-  json members = json::array();
-  for (const auto& [member, store] : m_members) {
-    members.push_back(json::array({member.value, store}));
-  }
-  json outcomes = json::array();
-  for (const std::string& key : m_outcome_order) {
-    const StoredOutcome& stored = m_outcomes.at(key);
-    outcomes.push_back(
-        json::array({Binary(Bytes(key.begin(), key.end())), stored.content_hash,
-                     stored.base, OutcomeToJson(stored.outcome)}));
-  }
-  json history = json::array();
-  for (std::size_t i = 0; i < m_history.size(); ++i) {
-    const PatchRecord& record = m_history[i];
-    history.push_back(
-        json::array({record.version.value, record.operator_name,
-                     ToJson(record.patch), m_history_record_bytes[i]}));
-  }
-  const json evicted =
-      m_max_evicted_base ? json::array({*m_max_evicted_base}) : json::array();
-  return ToCbor(json::array(
-      {kStateFormatVersion, m_cluster, m_index, ToJson(*m_configuration),
-       std::move(members), std::move(outcomes), std::move(history), evicted,
-       m_document.version.value, Binary(*m_document.content)}));
-}
-
-std::optional<RegisterState> RegisterState::Decode(ByteView bytes) {
-  const json root = FromCbor(bytes);
-  CborArrayReader reader(root);
-  RegisterState state;
-  if (reader.Number() != kStateFormatVersion) return std::nullopt;
-  state.m_cluster = reader.Number();
-  state.m_index = reader.Number();
-  const json* configuration = reader.Next();
-  if (configuration == nullptr) return std::nullopt;
-  auto parsed = ConfigurationFromJson(*configuration);
-  if (!parsed) return std::nullopt;
-  state.m_configuration = std::make_shared<Configuration>(std::move(*parsed));
-  bool is_valid = true;
-  for (const json& item : reader.Array()) {
-    CborArrayReader fields(item);
-    const NodeId member{static_cast<std::uint32_t>(fields.Number())};
-    state.m_members[member] = fields.Number();
-    is_valid = is_valid && fields.ok();
-  }
-  for (const json& item : reader.Array()) {
-    CborArrayReader fields(item);
-    const Bytes raw_key = fields.Blob();
-    const std::string key(raw_key.begin(), raw_key.end());
-    StoredOutcome stored;
-    stored.content_hash = fields.Number();
-    stored.base = fields.Number();
-    stored.outcome = ReadOutcome(&fields);
-    is_valid = is_valid && fields.ok();
-    state.StoreOutcome(key, std::move(stored));
-  }
-  for (const json& item : reader.Array()) {
-    CborArrayReader fields(item);
-    const ConfigVersion version{fields.Number()};
-    std::string operator_name = fields.Text();
-    const json* content = fields.Next();
-    const std::size_t size = fields.Number();
-    auto patch = content == nullptr ? Fail(ErrorCode::kMalformed, "no patch")
-                                    : PatchFromJson(*content);
-    is_valid = is_valid && fields.ok() && patch;
-    if (!is_valid) break;
-    state.m_history.push_back(
-        {version, std::move(operator_name), std::move(*patch)});
-    state.m_history_record_bytes.push_back(size);
-    state.m_history_bytes += size;
-  }
-  CborArrayReader evicted(reader.Array());
-  if (!evicted.AtEnd()) state.m_max_evicted_base = evicted.Number();
-  state.m_document.version = ConfigVersion{reader.Number()};
-  state.m_document.content = std::make_shared<const Bytes>(reader.Blob());
-  if (!reader.ok() || !reader.AtEnd() || !is_valid) return std::nullopt;
-  return state;
-}
-
 }  // namespace sardinelead
