Register: orders to start or finish an evacuation

Nothing decided which data centres are evacuated. The register now holds an EvacuationTable, and the command kEvacuation changes it if its submitter saw the last order; an order that finds the state as wanted renews the index, so that held orders for the opposite are refused. Such commands share no log value with other kinds, since older replicas skip the whole value. Expired commands are no longer proposed when a quorum's promises arrive late.

A command now has a random id.

--- a/include/sardinelead/evacuation.h
+++ b/include/sardinelead/evacuation.h
@@ -19,7 +19,17 @@
 
 struct Evacuation {
   bool is_active = false;
-  std::uint64_t changed_at = 0;  // Log index of the last change.
+  // Log index of the last order, also of one that found the state as wanted.
+  std::uint64_t changed_at = 0;
+};
+
+// A request to start or finish the evacuation of a data centre.
+struct EvacuationOrder {
+  std::string data_centre;
+  bool is_active = false;
+  // EvacuationTable::ChangedAt() when the order was given. The order is refused
+  // if a later one that wanted the opposite was decided in between.
+  std::uint64_t seen_change = 0;
 };
 
 class EvacuationTable {
--- a/include/sardinelead/replica.h
+++ b/include/sardinelead/replica.h
@@ -33,6 +33,7 @@
 
 #include "sardinelead/config.h"
 #include "sardinelead/error.h"
+#include "sardinelead/evacuation.h"
 #include "sardinelead/journal.h"
 #include "sardinelead/message.h"
 #include "sardinelead/types.h"
@@ -75,7 +76,8 @@
   std::size_t max_inline_value_bytes = 16 << 10;
   // Patches and documents with a larger encoding are refused with kLimit.
   std::size_t max_command_bytes = 5 << 20;
-  // Number of members that must have joined before documents are accepted.
+  // Number of members that must have joined before documents and evacuation
+  // orders are accepted.
   std::size_t min_members = 1;
 };
 
@@ -186,6 +188,10 @@
   // The outcome of an accepted document carries the document's own version.
   ReplicaOutput Submit(std::uint64_t request_id, const Document& document,
                        TimePoint deadline, TimePoint now);
+  // Refused with kVersionConflict if the order was overtaken by a later one;
+  // see EvacuationOrder. Every accepted order has its own log index.
+  ReplicaOutput Submit(std::uint64_t request_id, const EvacuationOrder& order,
+                       TimePoint deadline, TimePoint now);
   // Requests a linearizable read. Answered `kAccepted` once this replica's
   // state includes every change that was answered before the call, so that
   // document() is then not stale; `kUnknown` if no quorum confirms this by the
@@ -212,6 +218,7 @@
   // Local reads, which may be stale; see ReplicaStatus::staleness.
   ConfigurationPtr configuration() const;
   const Document& document() const;
+  const EvacuationTable& evacuations() const;
   ReplicaStatus Status(TimePoint now) const;
   // The outcome decided for an operator's patch id, if still retained.
   std::optional<Outcome> FindOutcome(const std::string& operator_name,
--- a/src/register_command.cc
+++ b/src/register_command.cc
@@ -6,6 +6,12 @@
 #include "cbor.h"
 
 namespace sardinelead {
+namespace {
+
+// Whether the first version of the register did not know this kind.
+bool IsLaterKind(CommandKind kind) { return kind >= CommandKind::kEvacuation; }
+
+}  // namespace
 
 using nlohmann::json;
 
@@ -53,6 +59,29 @@
           *document.content};
 }
 
+Command MakeEvacuationCommand(const EvacuationOrder& order,
+                              const std::string& id) {
+  const json content =
+      json::array({order.data_centre, std::uint64_t{order.is_active ? 1U : 0U},
+                   order.seen_change});
+  return {CommandKind::kEvacuation, "", id, ToCbor(content)};
+}
+
+std::optional<EvacuationOrder> EvacuationOrderFrom(ByteView content) {
+  const json list = FromCbor(content);
+  CborArrayReader reader(list);
+  EvacuationOrder order;
+  order.data_centre = reader.Text();
+  order.is_active = reader.Number() != 0;
+  order.seen_change = reader.Number();
+  if (!reader.ok() || !reader.AtEnd()) return std::nullopt;
+  return order;
+}
+
+bool MayShareValue(CommandKind a, CommandKind b) {
+  return a == b || (!IsLaterKind(a) && !IsLaterKind(b));
+}
+
 Bytes EncodeCommands(const std::vector<Command>& commands) {
   json list = json::array();
   for (const Command& command : commands) {
@@ -76,7 +105,7 @@
     command.id = reader.Text();
     command.content = reader.Blob();
     const bool is_known_kind =
-        kind <= static_cast<std::uint64_t>(CommandKind::kAddAndJoin);
+        kind <= static_cast<std::uint64_t>(CommandKind::kEvacuation);
     if (!reader.ok() || !reader.AtEnd() || !is_known_kind) return std::nullopt;
     commands.push_back(std::move(command));
   }
--- a/src/register_command.h
+++ b/src/register_command.h
@@ -19,6 +19,7 @@
   kJoin = 2,      // For a member: sets the id of the store that it votes from.
   kDocument = 3,  // A complete versioned document; the highest version wins.
   kAddAndJoin = 4,  // Like kJoin, for a replica that is not a member yet.
+  kEvacuation = 5,  // Starts or finishes the evacuation of a data centre.
 };
 
 struct Command {
@@ -26,7 +27,7 @@
   std::string operator_name;
   std::string id;
   // For kDocument, the document itself. Otherwise the CBOR encoding of the
-  // patch, the replica change or the join.
+  // patch, the replica change, the join or the evacuation order.
   Bytes content;
 };
 
@@ -44,6 +45,18 @@
 Command MakeAddAndJoinCommand(NodeId replica, std::uint64_t store,
                               NodeId replaced);
 Command MakeDocumentCommand(const Document& document);
+// `id` is drawn for each call, so that a call that is held is not answered with
+// the outcome of an equal order, which a later one may have overtaken.
+Command MakeEvacuationCommand(const EvacuationOrder& order,
+                              const std::string& id);
+
+// Returns nullopt if `content` is not that of MakeEvacuationCommand().
+std::optional<EvacuationOrder> EvacuationOrderFrom(ByteView content);
+
+// Whether one log value may hold commands of both kinds. Replicas of a version
+// that does not know a kind skip the whole value, and with it commands that
+// they do know.
+bool MayShareValue(CommandKind a, CommandKind b);
 
 Bytes EncodeCommands(const std::vector<Command>& commands);
 std::optional<std::vector<Command>> DecodeCommands(ByteView bytes);
--- a/src/register_snapshot.cc
+++ b/src/register_snapshot.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "cbor.h"
+#include "evacuation_encoding.h"
 #include "register_state.h"
 
 namespace sardinelead {
@@ -53,10 +54,15 @@
   }
   const json evicted =
       m_max_evicted_base ? json::array({*m_max_evicted_base}) : json::array();
-  return ToCbor(json::array(
+  json state = json::array(
       {kStateFormatVersion, m_cluster, m_index, ToJson(*m_configuration),
        std::move(members), std::move(outcomes), std::move(history), evicted,
-       m_document.version.value, Binary(*m_document.content)}));
+       m_document.version.value, Binary(*m_document.content)});
+  // Older versions cannot read this element, so it is left out if it is empty.
+  if (!m_evacuations.entries().empty()) {
+    state.push_back(json::array({ToJson(m_evacuations)}));
+  }
+  return ToCbor(state);
 }
 
 std::optional<RegisterState> RegisterState::Decode(ByteView bytes) {
@@ -108,6 +114,12 @@
   if (!evicted.AtEnd()) state.m_max_evicted_base = evicted.Number();
   state.m_document.version = ConfigVersion{reader.Number()};
   state.m_document.content = std::make_shared<const Bytes>(reader.Blob());
+  if (!reader.AtEnd()) {
+    CborArrayReader later(reader.Array());
+    auto evacuations = EvacuationsFromJson(later.Array());
+    is_valid = is_valid && evacuations && later.ok() && later.AtEnd();
+    if (evacuations) state.m_evacuations = std::move(*evacuations);
+  }
   if (!reader.ok() || !reader.AtEnd() || !is_valid) return std::nullopt;
   return state;
 }
--- a/src/register_state.cc
+++ b/src/register_state.cc
@@ -61,6 +61,10 @@
       outcomes.emplace_back(key, ExecuteDocument(command));
       continue;
     }
+    if (command.kind == CommandKind::kEvacuation) {
+      outcomes.emplace_back(key, ExecuteEvacuation(command));
+      continue;
+    }
     std::optional<Outcome> outcome = FindOutcome(command);
     if (!outcome && !EnsureOutcomeCapacity()) {
       outcome = Outcome{OutcomeKind::kUnknown, m_configuration->version,
@@ -185,6 +189,8 @@
       return ExecuteDocument(command);
     case CommandKind::kAddAndJoin:
       return ExecuteAdmit(command);
+    case CommandKind::kEvacuation:
+      return ExecuteEvacuation(command);
   }
   return Refused(ErrorCode::kMalformed, "unknown kind of command");
 }
@@ -302,4 +308,23 @@
   return Accepted();
 }
 
+// An order that finds the state as wanted still renews the index, so that older
+// orders for the opposite, which may be held by other replicas, are refused.
+Outcome RegisterState::ExecuteEvacuation(const Command& command) {
+  const auto order = EvacuationOrderFrom(command.content);
+  if (!order) return Refused(ErrorCode::kMalformed, "unreadable evacuation");
+  const std::string& name = order->data_centre;
+  const bool is_as_wanted = m_evacuations.IsEvacuated(name) == order->is_active;
+  if (!is_as_wanted && m_evacuations.ChangedAt(name) != order->seen_change) {
+    return Refused(
+        ErrorCode::kVersionConflict,
+        "a later order for data centre \"" + name + "\" was decided; resend");
+  }
+  if (!m_evacuations.Set(name, order->is_active, m_index)) {
+    return Refused(ErrorCode::kLimit,
+                   "too many data centres, or a name of invalid length");
+  }
+  return Accepted();
+}
+
 }  // namespace sardinelead
--- a/src/register_state.h
+++ b/src/register_state.h
@@ -56,6 +56,9 @@
   const std::map<NodeId, std::uint64_t>& members() const {  // NOLINT
     return m_members;
   }
+  const EvacuationTable& evacuations() const {  // NOLINT
+    return m_evacuations;
+  }
   const std::deque<PatchRecord>& history() const {
     return m_history;
   }  // NOLINT
@@ -83,6 +86,7 @@
   Outcome ExecuteJoin(const Command& command);
   Outcome ExecuteAdmit(const Command& command);
   Outcome ExecuteDocument(const Command& command);
+  Outcome ExecuteEvacuation(const Command& command);
   Outcome Refused(ErrorCode code, std::string message) const;
   Outcome Accepted() const;
   // Evicts outcomes until there is room for one more. Returns false if no
@@ -97,6 +101,7 @@
   std::uint64_t m_index = 0;
   ConfigurationPtr m_configuration = std::make_shared<Configuration>();
   Document m_document;
+  EvacuationTable m_evacuations;
   std::map<NodeId, std::uint64_t> m_members;
   std::unordered_map<std::string, StoredOutcome> m_outcomes;
   std::deque<std::string> m_outcome_order;
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -77,6 +77,14 @@
   return m_core->TakeOutput();
 }
 
+ReplicaOutput Replica::Submit(std::uint64_t request_id,
+                              const EvacuationOrder& order, TimePoint deadline,
+                              TimePoint now) {
+  m_core->Submit(request_id, MakeEvacuationCommand(order, m_core->DrawId()),
+                 deadline, now);
+  return m_core->TakeOutput();
+}
+
 ReplicaOutput Replica::ConfirmRead(std::uint64_t request_id, TimePoint deadline,
                                    TimePoint now) {
   m_core->ConfirmRead(request_id, deadline, now);
@@ -116,6 +124,10 @@
 
 const Document& Replica::document() const { return m_core->state().document(); }
 
+const EvacuationTable& Replica::evacuations() const {
+  return m_core->state().evacuations();
+}
+
 ReplicaStatus Replica::Status(TimePoint now) const {
   return m_core->Status(now);
 }
--- a/src/replica_core.h
+++ b/src/replica_core.h
@@ -32,6 +32,7 @@
   Result<ReplicaOutput> Start(TimePoint now);
   void Submit(std::uint64_t request_id, Command command, TimePoint deadline,
               TimePoint now);
+  std::string DrawId() { return std::to_string(m_hooks.random()); }
   void ConfirmRead(std::uint64_t request_id, TimePoint deadline, TimePoint now);
   void Leave(std::uint64_t request_id, TimePoint deadline, TimePoint now);
   void SetContacts(const std::vector<NodeId>& contacts) {
--- a/src/replica_members.cc
+++ b/src/replica_members.cc
@@ -143,7 +143,7 @@
                                    std::uint64_t request_id, TimePoint deadline,
                                    TimePoint now) {
   ReplicaChange change;
-  change.id = std::to_string(m_hooks.random());
+  change.id = DrawId();
   change.remove = member.first;
   change.remove_store = member.second;
   change.min_remaining = m_settings.min_members;
--- a/src/replica_proposer.cc
+++ b/src/replica_proposer.cc
@@ -42,9 +42,10 @@
   const ReplicaRole role = Role();
   const bool is_unavailable =
       role == ReplicaRole::kFaulty || role == ReplicaRole::kRemoved;
+  const bool needs_min_members = command.kind == CommandKind::kDocument ||
+                                 command.kind == CommandKind::kEvacuation;
   const bool has_too_few_members =
-      command.kind == CommandKind::kDocument &&
-      m_state.JoinedCount() < m_settings.min_members;
+      needs_min_members && m_state.JoinedCount() < m_settings.min_members;
   if (has_too_few_members) {
     return answer({OutcomeKind::kUnknown, m_state.document().version,
                    Error{ErrorCode::kUnavailable,
@@ -126,7 +127,8 @@
 }
 
 // Of the pending documents only the newest is proposed: once it is decided, the
-// others are superseded.
+// others are superseded. Commands that may not share a value with the oldest
+// one wait for a later value.
 Bytes Replica::Core::NextBatch() const {
   const PendingCommand* newest = nullptr;
   for (const PendingCommand& pending : m_pending_commands) {
@@ -141,7 +143,9 @@
   for (const PendingCommand& pending : m_pending_commands) {
     const bool is_superseded =
         pending.command.kind == CommandKind::kDocument && &pending != newest;
-    if (is_superseded) continue;
+    const bool may_share = MayShareValue(
+        m_pending_commands.front().command.kind, pending.command.kind);
+    if (is_superseded || !may_share) continue;
     size += pending.command.content.size();
     const bool is_full = commands.size() >= kMaxBatchCommands ||
                          (size > kMaxBatchBytes && !commands.empty());
@@ -190,6 +194,7 @@
   const bool has_own = m_voters.count(m_settings.self) != 0;
   if (!has_own || m_voters.size() < m_state.Quorum()) return;
   m_is_prepared = true;
+  ExpirePending(now);
   if (m_adopted_ballot.counter != 0) return BeginAccept(m_adopted_value, now);
   if (!m_pending_commands.empty()) return BeginAccept(NextBatch(), now);
   m_phase = Phase::kIdle;
