HTTP server: requests tell whether the client closed the connection

RESTinio does not read a connection while its request is handled, so an asynchronous handler could not know that its client has given up. The sockets of connections are now observed, and HttpRequest::is_closed asks the kernel.

--- a/include/sardinelead/http_server.h
+++ b/include/sardinelead/http_server.h
@@ -48,6 +48,10 @@
   std::map<std::string, std::string> headers;  // Keys are in lower case.
   std::string body;
   Endpoint remote;
+  // Whether the connection was closed since, also if only the client's
+  // direction was. May be called at any time and from any thread. Set by the
+  // server.
+  std::function<bool()> is_closed = [] { return false; };
 
   // Each returns an empty string if there is no such entry.
   std::string Param(const std::string& name) const;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -13,6 +13,8 @@
 #include <utility>
 #include <vector>
 
+#include "observed_socket.h"
+
 // Only this file includes RESTinio, whose templates are slow to compile.
 
 namespace sardinelead {
@@ -30,6 +32,7 @@
 
 struct Traits : restinio::default_traits_t {
   using request_handler_t = Router;
+  using stream_socket_t = ObservedSocket;
   static constexpr bool use_connection_count_limiter = true;  // NOLINT
 };
 using RunningServer = restinio::running_server_handle_t<Traits>;
@@ -107,7 +110,8 @@
 
 HttpRequest FromRestinio(const restinio::request_t& raw,
                          const restinio::router::route_params_t& route_params,
-                         const std::vector<std::string>& names) {
+                         const std::vector<std::string>& names,
+                         std::uint16_t local_port) {
   HttpRequest request;
   const auto& header = raw.header();
   request.path = std::string(header.path());
@@ -124,6 +128,9 @@
   request.body = raw.body();
   const auto& remote = raw.remote_endpoint();
   request.remote = Endpoint{ToIpAddress(remote.address()), remote.port()};
+  request.is_closed = [watch = ConnectionWatch::Find(local_port, remote)] {
+    return watch == nullptr || watch->IsClosed();
+  };
   return request;
 }
 
@@ -283,6 +290,7 @@
   std::unique_ptr<Router> router = std::make_unique<Router>();
   std::shared_ptr<InFlightRequests> in_flight =
       std::make_shared<InFlightRequests>();
+  std::shared_ptr<std::uint16_t> local_port = std::make_shared<std::uint16_t>();
   RunningServer server;
   std::unique_ptr<restinio::http_server_t<Traits>> server_on_context;
 };
@@ -307,6 +315,7 @@
                              AsyncHandler handler) {
   auto on_request = [handler = std::move(handler),
                      in_flight = m_impl->in_flight,
+                     local_port = m_impl->local_port,
                      names = ParameterNames(pattern)](
                         const restinio::request_handle_t& raw,
                         const restinio::router::route_params_t& params) {
@@ -314,7 +323,7 @@
     Respond respond = [raw, in_flight](HttpResponse response) {
       Send(raw, std::move(response), [in_flight] { in_flight->End(); });
     };
-    handler(FromRestinio(*raw, params, names), std::move(respond));
+    handler(FromRestinio(*raw, params, names, *local_port), std::move(respond));
     return restinio::request_accepted();
   };
   m_impl->router->add_handler(ToRestinio(method), pattern,
@@ -355,8 +364,9 @@
       .handle_request_timeout(impl.settings.handle_deadline)
       .incoming_http_msg_limits(limits)
       .max_parallel_connections(impl.settings.max_connections)
-      .acceptor_post_bind_hook([&bound](const auto& acceptor) {
+      .acceptor_post_bind_hook([&](const auto& acceptor) {
         bound.port = acceptor.local_endpoint().port();
+        *impl.local_port = bound.port;
       })
       .request_handler(std::move(impl.router));
   try {
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(StopWaitsForRequestsInFlight);
   CPPUNIT_TEST(ServerOnContextIsBusyUntilResponsesAreSent);
   CPPUNIT_TEST(ServerOnContextRefusesConnectionsAfterStopAccepting);
+  CPPUNIT_TEST(RequestTellsThatTheClientClosed);
   CPPUNIT_TEST(ClientDistinguishesNotSentFromUnknown);
   CPPUNIT_TEST_SUITE_END();
 
@@ -131,6 +132,35 @@
                    ErrorCode::kIo);
   }
 
+  // A call that its client has given up must not take effect.
+  void RequestTellsThatTheClientClosed() {
+    asio::io_context context{1};
+    HttpServerSettings settings;
+    settings.listen = *Endpoint::Parse("127.0.0.1:0");
+    HttpServer server(settings);
+    std::function<bool()> is_closed;
+    HttpServer::Respond pending;
+    server.HandleAsync(
+        HttpMethod::kPost, "/v1/later",
+        [&](const HttpRequest& request, const HttpServer::Respond& respond) {
+          is_closed = request.is_closed;
+          pending = respond;
+        });
+    const Endpoint bound = server.StartOn(&context).value();
+    asio::ip::tcp::socket client(context);
+    client.connect({asio::ip::address_v4::loopback(), bound.port});
+    const std::string text =
+        "POST /v1/later HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+    asio::write(client, asio::buffer(text));
+    RunUntil(&context, [&] { return pending != nullptr; });
+    CPPUNIT_ASSERT(!is_closed());
+    client.close();
+    RunUntil(&context, [&] { return is_closed(); });
+    pending(TextResponse(200, ""));
+    RunUntil(&context, [&] { return server.IsIdle(); });
+    CPPUNIT_ASSERT(is_closed());
+  }
+
   void ClientDistinguishesNotSentFromUnknown() {
     asio::io_context context;
     asio::ip::tcp::acceptor silent(context,
