Control VM: calls that start and finish an evacuation

The calls were answered with 404 and nothing was ordered. ControlPlane now confirms a read, takes the index of the last order and submits, within the answer deadline and not for a client that is gone. EvacuationApi serves the calls, and refuses those whose age is unknown after a stall. The status page lists the table; the age of a change is kept for the feed.

--- a/src/clock.cc
+++ b/src/clock.cc
@@ -1,5 +1,7 @@
 #include "clock.h"
 
+#include <time.h>
+
 #include <chrono>
 
 namespace sardinelead {
@@ -9,6 +11,14 @@
       std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+TimePoint BootNow() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 Incarnation ClockIncarnation() {
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
   return Incarnation{static_cast<std::uint64_t>(
--- a/src/clock.h
+++ b/src/clock.h
@@ -13,6 +13,9 @@
 // Returns the time of the monotonic clock.
 TimePoint SteadyNow();
 
+// Returns the time since the VM started, including time when it was suspended.
+TimePoint BootNow();
+
 // Returns an incarnation number for this process start: the wall-clock time in
 // microseconds. It increases with every restart unless the clock is set back.
 Incarnation ClockIncarnation();
--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -80,6 +80,7 @@
                                         ReplicaHooks{m_hooks.random});
   auto output = m_replica->Start(now);
   if (!output) return tl::unexpected<Error>(output.error());
+  m_evacuation_ages.Reset(evacuations(), m_replica->Status(now).log_index);
   Dispatch(std::move(*output), now);
   return {};
 }
@@ -144,12 +145,13 @@
 void ControlPlane::Dispatch(ReplicaOutput output, TimePoint now) {
   m_hooks.send(std::move(output.messages));
   UpdateRoutes(now);
+  UpdateEvacuations(now);
   for (const Answer& answer : output.answers) {
     const auto found = m_pending.find(answer.request_id);
     if (found == m_pending.end()) continue;
-    const OnOutcome on_outcome = std::move(found->second);
+    const OnAnswer on_answer = std::move(found->second);
     m_pending.erase(found);
-    on_outcome(answer.outcome);
+    on_answer(answer.outcome, now);
   }
 }
 
@@ -168,6 +170,19 @@
   m_hooks.send(m_publisher.OnTick(now));
 }
 
+std::uint64_t ControlPlane::AddPending(OnAnswer on_answer) {
+  const std::uint64_t id = ++m_last_request_id;
+  m_pending[id] = std::move(on_answer);
+  return id;
+}
+
+std::uint64_t ControlPlane::AddPending(OnOutcome on_outcome) {
+  return AddPending(OnAnswer(
+      [on_outcome = std::move(on_outcome)](const Outcome& outcome, TimePoint) {
+        on_outcome(outcome);
+      }));
+}
+
 bool ControlPlane::HasQuorum(TimePoint now) const {
   const ReplicaStatus status = m_replica->Status(now);
   return status.role == ReplicaRole::kVoting &&
@@ -197,8 +212,7 @@
          m_replica->document().version,
          {ErrorCode::kUnavailable, "no quorum of replicas is heard", ""}});
   }
-  const std::uint64_t id = ++m_last_request_id;
-  m_pending[id] = std::move(on_outcome);
+  const std::uint64_t id = AddPending(std::move(on_outcome));
   Dispatch(
       m_replica->Submit(id, document, now + m_settings.answer_deadline, now),
       now);
@@ -206,15 +220,13 @@
 }
 
 void ControlPlane::ConfirmRead(OnOutcome on_outcome, TimePoint now) {
-  const std::uint64_t id = ++m_last_request_id;
-  m_pending[id] = std::move(on_outcome);
+  const std::uint64_t id = AddPending(std::move(on_outcome));
   Dispatch(m_replica->ConfirmRead(id, now + m_settings.answer_deadline, now),
            now);
 }
 
 void ControlPlane::Leave(OnOutcome on_outcome, TimePoint now) {
-  const std::uint64_t id = ++m_last_request_id;
-  m_pending[id] = std::move(on_outcome);
+  const std::uint64_t id = AddPending(std::move(on_outcome));
   Dispatch(m_replica->Leave(id, now + m_settings.answer_deadline, now), now);
   Flush(now);
 }
--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "evacuation_ages.h"
 #include "sardinelead/feed_follower.h"
 #include "sardinelead/feed_publisher.h"
 #include "sardinelead/journal.h"
@@ -54,6 +55,10 @@
     // Called after the members, or the stores that they vote from, changed.
     std::function<void(const ReplicaStatus& status)> on_members;
     std::function<void(const RouteTable& routes)> on_routes;
+    // Called for each evacuation order that was applied here.
+    std::function<void(const std::string& data_centre,
+                       const Evacuation& evacuation)>
+        on_evacuation;
     TargetDirectory::OnReplaced on_target_replaced;
     std::function<void(const Error& error)> on_error;
   };
@@ -80,6 +85,22 @@
   void Submit(const Document& document, OnOutcome on_outcome, TimePoint now);
   // The outcome is `kAccepted` if document() is confirmed to be the newest.
   void ConfirmRead(OnOutcome on_outcome, TimePoint now);
+  // Starts or finishes the evacuation of a data centre: confirms a read, and
+  // then submits an order that is refused if a later one for the opposite is
+  // decided first. The order is not submitted if `is_abandoned` returns true by
+  // then, or if the answer deadline has passed.
+  void OrderEvacuation(const std::string& data_centre, bool is_active,
+                       std::function<bool()> is_abandoned, OnOutcome on_outcome,
+                       TimePoint now);
+  const EvacuationTable& evacuations() const {  // NOLINT
+    return m_replica->evacuations();
+  }
+  // Time since the data centre's evacuation started or finished, by when that
+  // was applied here; empty if unknown, for example after a restart.
+  std::optional<Duration> EvacuationAge(const std::string& data_centre,
+                                        TimePoint now) const {
+    return m_evacuation_ages.AgeOf(data_centre, now);
+  }
   // Withdraws this replica from the members before a planned stop; see
   // Replica::Leave.
   void Leave(OnOutcome on_outcome, TimePoint now);
@@ -91,9 +112,15 @@
   const FeedPublisher& publisher() const { return m_publisher; }  // NOLINT
 
  private:
+  using OnAnswer = std::function<void(const Outcome& outcome, TimePoint now)>;
+
+  // Returns the id of a new request.
+  std::uint64_t AddPending(OnAnswer on_answer);
+  std::uint64_t AddPending(OnOutcome on_outcome);
   Result<void> StartReplica(TimePoint now);
   void Dispatch(ReplicaOutput output, TimePoint now);
   void UpdateRoutes(TimePoint now);
+  void UpdateEvacuations(TimePoint now);
   void ReportChanges(const ReplicaStatus& status);
   FeedFollower::Hooks FollowerHooks() const;
   void LoadTargets(TimePoint now);
@@ -112,7 +139,8 @@
   std::uint64_t m_saved_revision = 0;
   std::vector<NodeId> m_saved_subscribers;
   std::optional<TimePoint> m_next_save_at;
-  std::unordered_map<std::uint64_t, OnOutcome> m_pending;
+  EvacuationAges m_evacuation_ages;
+  std::unordered_map<std::uint64_t, OnAnswer> m_pending;
   std::uint64_t m_last_request_id = 0;
   ReplicaRole m_role = ReplicaRole::kStarting;
   std::map<NodeId, std::uint64_t> m_stores;
--- a/src/status_page.cc
+++ b/src/status_page.cc
@@ -17,6 +17,18 @@
           {"silent_ms", Milliseconds(time - entry.heard_at)}};
 }
 
+json EvacuationsToJson(const ControlPlane& plane, TimePoint now) {
+  json list = json::array();
+  for (const auto& [name, evacuation] : plane.evacuations().entries()) {
+    const auto age = plane.EvacuationAge(name, now);
+    list.push_back({{"data_centre", name},
+                    {"evacuated", evacuation.is_active},
+                    {"log_index", evacuation.changed_at},
+                    {"age_ms", age ? json(Milliseconds(*age)) : json()}});
+  }
+  return list;
+}
+
 }  // namespace
 
 json BalancerStatus(const TargetDirectory& directory, const FeedFollower& feed,
@@ -74,6 +86,7 @@
           {"members", std::move(members)},
           {"balancers", std::move(balancers)},
           {"controls", std::move(controls)},
+          {"evacuations", EvacuationsToJson(plane, now)},
           {"targets", std::move(targets)}};
 }
 
--- a/tests/control_plane_test.cc
+++ b/tests/control_plane_test.cc
@@ -2,11 +2,17 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <asio/io_context.hpp>
+#include <atomic>
 #include <random>
+#include <thread>
 
+#include "clock.h"
+#include "evacuation_api.h"
 #include "feed_message.h"
 #include "log_budget.h"
 #include "replica_cluster.h"
+#include "sardinelead/http_client.h"
 #include "status_page.h"
 #include "target_store.h"
 
@@ -26,6 +32,10 @@
   CPPUNIT_TEST(CorruptTargetFileIsReported);
   CPPUNIT_TEST(SubmitWithoutQuorumFailsImmediately);
   CPPUNIT_TEST(JoiningReplicaNamesReachableVoter);
+  CPPUNIT_TEST(EvacuationIsOrderedAndItsAgeIsKnown);
+  CPPUNIT_TEST(AbandonedEvacuationIsNotSubmitted);
+  CPPUNIT_TEST(EvacuationIsNotSubmittedAfterTheDeadline);
+  CPPUNIT_TEST(EvacuationCallsAreAnswered);
   CPPUNIT_TEST(StatusShowsVersionsAndTargets);
   CPPUNIT_TEST(FloodOfOneEventDoesNotSuppressOthers);
   CPPUNIT_TEST_SUITE_END();
@@ -144,6 +154,92 @@
     CPPUNIT_ASSERT(outcome->kind == OutcomeKind::kUnknown);
   }
 
+  // A repeated order must not restart the balancers' gradual shift.
+  void EvacuationIsOrderedAndItsAgeIsKnown() {
+    CPPUNIT_ASSERT(Order(true) == OutcomeKind::kAccepted);
+    const std::uint64_t first = m_plane->evacuations().ChangedAt("luzon-a");
+    Run(kSecond);
+    CPPUNIT_ASSERT(Order(true) == OutcomeKind::kAccepted);
+    CPPUNIT_ASSERT(m_plane->evacuations().ChangedAt("luzon-a") > first);
+    CPPUNIT_ASSERT(*m_plane->EvacuationAge("luzon-a", m_now) >= kSecond);
+    Start(false);
+    CPPUNIT_ASSERT(m_plane->evacuations().IsEvacuated("luzon-a"));
+    CPPUNIT_ASSERT(!m_plane->EvacuationAge("luzon-a", m_now));
+    CPPUNIT_ASSERT(Order(false) == OutcomeKind::kAccepted);
+    CPPUNIT_ASSERT(!m_plane->evacuations().IsEvacuated("luzon-a"));
+    CPPUNIT_ASSERT(m_plane->EvacuationAge("luzon-a", m_now).has_value());
+  }
+
+  void AbandonedEvacuationIsNotSubmitted() {
+    CPPUNIT_ASSERT(Order(true, true) == OutcomeKind::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_plane->evacuations().version());
+  }
+
+  // This process freezes while it waits for the confirmation of its read.
+  void EvacuationIsNotSubmittedAfterTheDeadline() {
+    TestCluster other(3, 2);
+    other.settings.allow_automatic_join = true;
+    other.settings.contacts = {NodeId{1}};
+    other.Start(NodeId{2});
+    for (int step = 0; step < 300; ++step) {
+      Run(milliseconds(10));
+      ExchangeMessages(&other);
+    }
+    for (const Duration pause : {Duration{0}, kSecond}) {
+      std::optional<Outcome> outcome;
+      m_plane->OrderEvacuation(
+          "luzon-a", true, [] { return false; },
+          [&](const Outcome& o) { outcome = o; }, m_now);
+      CPPUNIT_ASSERT(!outcome);
+      m_now += pause;
+      for (int step = 0; step < 20; ++step) {
+        ExchangeMessages(&other);
+        Run(milliseconds(10));
+      }
+      CPPUNIT_ASSERT(outcome.has_value());
+      const bool is_late = pause > Duration{0};
+      CPPUNIT_ASSERT(outcome->kind == (is_late ? OutcomeKind::kUnknown
+                                               : OutcomeKind::kAccepted));
+    }
+  }
+
+  void EvacuationCallsAreAnswered() {
+    asio::io_context context{1};
+    HttpServerSettings settings;
+    settings.listen = *Endpoint::Parse("127.0.0.1:0");
+    HttpServer server(settings);
+    // A call that follows a stall is refused.
+    ClockReadings clocks{m_now, m_now};
+    EvacuationApi api({"luzon-a"}, m_plane.get(),
+                      {[&] { return clocks; },
+                       [](const HttpRequest&) { return std::nullopt; }});
+    api.AddRoutes(&server);
+    const Endpoint bound = server.StartOn(&context).value();
+    const auto call = [&](const char* path) {
+      HttpClientRequest request;
+      request.method = HttpMethod::kPost;
+      request.path = path;
+      std::atomic<int> status{0};
+      std::thread caller(
+          [&] { status = SendHttpRequest(bound, request).value().status; });
+      const TimePoint end = SteadyNow() + 5 * kSecond;
+      while (SteadyNow() < end && !(status != 0 && server.IsIdle())) {
+        context.run_one_for(milliseconds(10));
+        context.restart();
+      }
+      caller.join();
+      return status.load();
+    };
+    CPPUNIT_ASSERT_EQUAL(404, call("/evacuations/luzon-b/start"));
+    CPPUNIT_ASSERT_EQUAL(200, call("/evacuations/luzon-a/start"));
+    CPPUNIT_ASSERT(m_plane->evacuations().IsEvacuated("luzon-a"));
+    clocks.boot += kSecond;
+    CPPUNIT_ASSERT_EQUAL(503, call("/evacuations/luzon-a/finish"));
+    clocks.steady += milliseconds(50);
+    CPPUNIT_ASSERT_EQUAL(200, call("/evacuations/luzon-a/finish"));
+    CPPUNIT_ASSERT(!m_plane->evacuations().IsEvacuated("luzon-a"));
+  }
+
   void JoiningReplicaNamesReachableVoter() {
     CPPUNIT_ASSERT(
         !m_plane->FindReachableVoter(m_now));  // This replica is a voter.
@@ -237,6 +333,7 @@
     };
     hooks.on_role = [](ReplicaRole) {};
     hooks.on_members = [](const ReplicaStatus&) {};
+    hooks.on_evacuation = [](const std::string&, const Evacuation&) {};
     hooks.on_target_replaced = [](const TargetAnnouncement&,
                                   const TargetAnnouncement&) {};
     hooks.on_routes = [this](const RouteTable& routes) {
@@ -262,6 +359,15 @@
     return outcome->kind;
   }
 
+  OutcomeKind Order(bool is_active, bool is_abandoned = false) {
+    std::optional<Outcome> outcome;
+    m_plane->OrderEvacuation(
+        "luzon-a", is_active, [=] { return is_abandoned; },
+        [&](const Outcome& o) { outcome = o; }, m_now);
+    CPPUNIT_ASSERT(outcome.has_value());
+    return outcome->kind;
+  }
+
   // Delivers messages between this control plane and replica 2.
   void ExchangeMessages(TestCluster* other) {
     TestNode& node = other->nodes[NodeId{2}];
--- a/tests/disk_full_test.cc
+++ b/tests/disk_full_test.cc
@@ -167,6 +167,7 @@
     };
     hooks.on_role = [](ReplicaRole) {};
     hooks.on_members = [](const ReplicaStatus&) {};
+    hooks.on_evacuation = [](const std::string&, const Evacuation&) {};
     hooks.on_target_replaced = [](const TargetAnnouncement&,
                                   const TargetAnnouncement&) {};
     hooks.on_routes = [](const RouteTable&) {};
