Control VM: evacuations go to balancers with the feed

Cause: the feed's publisher got an empty table until the replicated order existed. Change: ControlPlane passes the replicated table with the ages of its entries, and publishes at once when an order is applied.

--- a/src/control_evacuation.cc
+++ b/src/control_evacuation.cc
@@ -1,6 +1,7 @@
 // The control plane's orders to evacuate a data centre.
 
 #include <utility>
+#include <vector>
 
 #include "control_plane.h"
 
@@ -45,10 +46,22 @@
 
 void ControlPlane::UpdateEvacuations(TimePoint now) {
   const std::uint64_t log_index = m_replica->Status(now).log_index;
-  for (const std::string& data_centre :
-       m_evacuation_ages.Observe(evacuations(), log_index, now)) {
+  const std::vector<std::string> changed =
+      m_evacuation_ages.Observe(evacuations(), log_index, now);
+  for (const std::string& data_centre : changed) {
     m_hooks.on_evacuation(data_centre, evacuations().entries().at(data_centre));
   }
+  if (!changed.empty()) m_hooks.send(m_publisher.OnTick(now));
+}
+
+EvacuationReport ControlPlane::ReportEvacuations(TimePoint now) const {
+  EvacuationReport report;
+  report.table = evacuations();
+  for (const auto& [data_centre, evacuation] : report.table.entries()) {
+    const auto age = EvacuationAge(data_centre, now);
+    if (age) report.ages.emplace(data_centre, *age);
+  }
+  return report;
 }
 
 }  // namespace sardinelead
--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -22,8 +22,8 @@
            },
            [this] { return m_routes.version(); },
            [this](ConfigVersion held) { return m_routes.UpdateFrom(held); },
-           [] { return std::uint64_t{0}; },
-           [](TimePoint) { return EvacuationReport{}; }}),
+           [this] { return evacuations().version(); },
+           [this](TimePoint now) { return ReportEvacuations(now); }}),
       m_follower(m_settings.feed, m_settings.replica.contacts, &m_directory,
                  FollowerHooks()) {}
 
--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -121,6 +121,7 @@
   void Dispatch(ReplicaOutput output, TimePoint now);
   void UpdateRoutes(TimePoint now);
   void UpdateEvacuations(TimePoint now);
+  EvacuationReport ReportEvacuations(TimePoint now) const;
   void ReportChanges(const ReplicaStatus& status);
   FeedFollower::Hooks FollowerHooks() const;
   void LoadTargets(TimePoint now);
