--- a/src/flow_placement.cc
+++ b/src/flow_placement.cc
@@ -29,6 +29,16 @@
   if (*count > 0) --*count;
 }
 
+bool AreAllEvacuated(const std::vector<PlacementTarget>& targets) {
+  return std::all_of(
+      targets.begin(), targets.end(),
+      [](const PlacementTarget& t) { return t.avoided_share.has_value(); });
+}
+
+bool IsAvoided(const PlacementTarget& target, std::uint64_t random) {
+  return target.avoided_share && AvoidsEvacuated(*target.avoided_share, random);
+}
+
 // Keeps the candidate with the lowest score; breaks ties with a random number.
 class BestTarget {
  public:
@@ -58,10 +68,7 @@
 std::optional<std::uint64_t> FlowPlacement::Choose(
     const std::vector<PlacementTarget>& targets, std::size_t balancers,
     std::uint64_t random, TimePoint now) {
-  const bool is_evacuated = std::all_of(
-      targets.begin(), targets.end(),
-      [](const PlacementTarget& t) { return t.avoided_share.has_value(); });
-  if (is_evacuated) return std::nullopt;
+  if (AreAllEvacuated(targets)) return std::nullopt;
   BestTarget local(random);
   BestTarget remote(random);
   BestTarget suspect(random);
@@ -70,9 +77,7 @@
   double local_slots = 0;
   for (const PlacementTarget& target : targets) {
     // Neither load nor probes nor the last resort bring a flow there.
-    const bool is_avoided =
-        target.avoided_share && AvoidsEvacuated(*target.avoided_share, random);
-    if (is_avoided) continue;
+    if (IsAvoided(target, random)) continue;
     TargetStats& view = m_views[target.number];
     if (IsSuspect(target.number, now)) {
       if (IsProbeDue(target, view, now)) {
