controld, sardinectl: orders to evacuate a data centre

A call of unknown age after a stall is not submitted here either. The counter of patches no longer counts other requests.

--- a/src/control_api.cc
+++ b/src/control_api.cc
@@ -84,6 +84,32 @@
   return change;
 }
 
+struct EvacuationCall {
+  std::string data_centre;
+  bool is_active = false;
+};
+
+Result<EvacuationCall> EvacuationCallFromJson(const json& body) {
+  const auto name = body.find("data_centre");
+  if (name == body.end() || !name->is_string()) {
+    return Fail(ErrorCode::kMalformed, "expected a text", "data_centre");
+  }
+  const auto active = body.find("active");
+  if (active == body.end() || !active->is_boolean()) {
+    return Fail(ErrorCode::kMalformed, "expected true or false", "active");
+  }
+  return EvacuationCall{name->get<std::string>(), active->get<bool>()};
+}
+
+// A conflict with another order is no refusal for good: the caller resends.
+HttpResponse EvacuationResponse(const Outcome& outcome) {
+  const bool may_resend = outcome.kind == OutcomeKind::kRefused &&
+                          outcome.error.code == ErrorCode::kVersionConflict;
+  Outcome reported = outcome;
+  if (may_resend) reported.kind = OutcomeKind::kUnknown;
+  return ToResponse("", reported);
+}
+
 json ToJson(const ReplicaStatus& status) {
   json members = json::array();
   for (const auto& [node, joined] : status.members) {
@@ -119,12 +145,8 @@
                       const Respond& respond) const {
     const auto user = m_api.access->FindOperator(request.BearerToken());
     if (!user) return respond(NotSubmitted(kUnauthorized, user.error()));
-    if (!user->all_workspaces) {
-      const Error error{
-          ErrorCode::kNotAllowed,
-          "operator \"" + user->name + "\" may not replace control VMs", ""};
-      return respond(NotSubmitted(kForbidden, error));
-    }
+    const auto allowed = CheckFullAccess(*user, "replace control VMs");
+    if (!allowed) return respond(NotSubmitted(kForbidden, allowed.error()));
     const auto body = ParseJsonObject(request.body);
     if (!body) return respond(NotSubmitted(kBadRequest, body.error()));
     const auto change = ReplicaChangeFromJson(*body);
@@ -135,6 +157,37 @@
                        });
   }
 
+  void OrderEvacuation(const HttpRequest& request,
+                       const Respond& respond) const {
+    const auto user = m_api.access->FindOperator(request.BearerToken());
+    if (!user) return respond(NotSubmitted(kUnauthorized, user.error()));
+    const auto allowed = CheckFullAccess(*user, "evacuate data centres");
+    if (!allowed) return respond(NotSubmitted(kForbidden, allowed.error()));
+    const auto body = ParseJsonObject(request.body);
+    if (!body) return respond(NotSubmitted(kBadRequest, body.error()));
+    const auto call = EvacuationCallFromJson(*body);
+    if (!call) return respond(NotSubmitted(kBadRequest, call.error()));
+    m_api.node->OrderEvacuation(call->data_centre, call->is_active,
+                                request.is_closed,
+                                [respond](const Outcome& outcome) {
+                                  respond(EvacuationResponse(outcome));
+                                });
+  }
+
+  void Evacuations(const HttpRequest& request, const Respond& respond) const {
+    Read(request, respond, [](const Replica& replica, TimePoint now) {
+      json list = json::array();
+      for (const auto& [name, entry] : replica.evacuations().entries()) {
+        list.push_back({{"data_centre", name},
+                        {"active", entry.is_active},
+                        {"log_index", entry.changed_at}});
+      }
+      const Duration staleness = replica.Status(now).staleness;
+      return JsonResponse(kOk, {{"evacuations", std::move(list)},
+                                {"staleness_ms", Milliseconds(staleness)}});
+    });
+  }
+
   void Configuration(const HttpRequest& request, const Respond& respond) const {
     const auto max_stale = ParseNumber(request.Query("max_stale_ms"));
     Read(request, respond, [=](const Replica& replica, TimePoint now) {
@@ -205,6 +258,13 @@
   }
 
  private:
+  static Result<void> CheckFullAccess(const Operator& user,
+                                      const char* action) {
+    if (user.all_workspaces) return {};
+    return Fail(ErrorCode::kNotAllowed,
+                "operator \"" + user.name + "\" may not " + action);
+  }
+
   template <typename MakeResponse>
   void Read(const HttpRequest& request, const Respond& respond,
             MakeResponse make_response) const {
@@ -234,6 +294,8 @@
   };
   add_route(HttpMethod::kPost, "/v1/patches", &Routes::SubmitPatch);
   add_route(HttpMethod::kPost, "/v1/replicas/replace", &Routes::ReplaceReplica);
+  add_route(HttpMethod::kPost, "/v1/evacuations", &Routes::OrderEvacuation);
+  add_route(HttpMethod::kGet, "/v1/evacuations", &Routes::Evacuations);
   add_route(HttpMethod::kGet, "/v1/configuration", &Routes::Configuration);
   add_route(HttpMethod::kGet, "/v1/history", &Routes::History);
   add_route(HttpMethod::kGet, "/v1/status", &Routes::Status);
--- a/src/control_api.h
+++ b/src/control_api.h
@@ -7,10 +7,12 @@
 //   GET  /v1/configuration      with ?max_stale_ms=N, fails if staler
 //   GET  /v1/history            accepted patches, ?after=VERSION
 //   POST /v1/replicas/replace   {"id", "remove", "add"}
+//   POST /v1/evacuations        {"data_centre", "active"}
+//   GET  /v1/evacuations        data centres that were ever named in an order
 //   GET  /v1/status
 //   GET  /v1/health, /v1/metrics  no token required
 //
-// Responses to a patch or a replacement:
+// Responses to a patch, a replacement or an evacuation, which has no id:
 //   200 {"outcome": "accepted", "version"}
 //   409 {"outcome": "refused", "ran": false, "version", "error"}: the change
 //       was not applied and never will be under this id
--- a/src/control_node.cc
+++ b/src/control_node.cc
@@ -10,6 +10,7 @@
 #include "clock.h"
 #include "sardinelead/journal.h"
 #include "sardinelead/log.h"
+#include "stall_guard.h"
 
 namespace sardinelead {
 namespace {
@@ -24,6 +25,8 @@
   };
 }
 
+ClockReadings ReadClocks() { return {SteadyNow(), BootNow()}; }
+
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -86,14 +89,43 @@
   void Submit(const std::string& name, const Change& change,
               OnOutcome on_outcome) {
     PostTask([this, name, change, on_outcome = std::move(on_outcome)] {
-      const std::uint64_t id = ++m_last_request_id;
-      m_pending[id] = on_outcome;
+      const std::uint64_t id =
+          AddPending([this, on_outcome](const Outcome& outcome) {
+            CountPatch(outcome.kind);
+            on_outcome(outcome);
+          });
       const TimePoint now = SteadyNow();
       Dispatch(m_replica.Submit(id, name, change,
                                 now + m_settings.submit_deadline, now));
     });
   }
 
+  void OrderEvacuation(EvacuationOrder order,
+                       std::function<bool()> is_abandoned,
+                       OnOutcome on_outcome) {
+    PostTask([this, order = std::move(order),
+              is_abandoned = std::move(is_abandoned),
+              on_outcome = std::move(on_outcome)] {
+      const ClockReadings clocks = ReadClocks();
+      if (m_guard.IsAgeUnknown(clocks)) return on_outcome(NotSubmitted());
+      const TimePoint deadline = clocks.steady + m_settings.submit_deadline;
+      const std::uint64_t stalls = m_guard.CountStalls(clocks);
+      const std::uint64_t id = AddPending([=](const Outcome& outcome) {
+        if (outcome.kind != OutcomeKind::kAccepted) return on_outcome(outcome);
+        const ClockReadings read = ReadClocks();
+        const bool is_late =
+            read.steady >= deadline || m_guard.CountStalls(read) != stalls;
+        if (is_late || is_abandoned()) return on_outcome(NotSubmitted());
+        EvacuationOrder current = order;
+        current.seen_change =
+            m_replica.evacuations().ChangedAt(order.data_centre);
+        Dispatch(m_replica.Submit(AddPending(on_outcome), current, deadline,
+                                  read.steady));
+      });
+      Dispatch(m_replica.ConfirmRead(id, deadline, clocks.steady));
+    });
+  }
+
   void Read(ReadReplica read) {
     PostTask([this, read = std::move(read)] { read(m_replica, SteadyNow()); });
   }
@@ -101,6 +133,23 @@
   const ControlLinks& links() const { return m_links; }  // NOLINT
 
  private:
+  static Outcome NotSubmitted() {
+    return {OutcomeKind::kUnknown,
+            {},
+            {ErrorCode::kUnavailable, "the call may be too old; resend", ""}};
+  }
+
+  std::uint64_t AddPending(OnOutcome on_outcome) {
+    m_pending[++m_last_request_id] = std::move(on_outcome);
+    return m_last_request_id;
+  }
+
+  void CountPatch(OutcomeKind kind) {
+    m_metrics
+        ->FindCounter("sardinelead_patches_total", {{"outcome", Name(kind)}})
+        ->Add(1);
+  }
+
   ControlLinkHooks MakeLinkHooks() {
     ControlLinkHooks hooks;
     hooks.on_message = [this](NodeId from, MessageKind kind, ByteView body) {
@@ -153,10 +202,6 @@
       assert(found != m_pending.end());
       const OnOutcome on_outcome = std::move(found->second);
       m_pending.erase(found);
-      m_metrics
-          ->FindCounter("sardinelead_patches_total",
-                        {{"outcome", Name(answer.outcome.kind)}})
-          ->Add(1);
       on_outcome(answer.outcome);
     }
   }
@@ -165,6 +210,7 @@
     m_timer.expires_after(kTickInterval);
     m_timer.async_wait([this](asio::error_code error) {
       if (error) return;
+      m_guard.Observe(ReadClocks());
       Dispatch(m_replica.OnTick(SteadyNow()));
       ScheduleSync();
       if (++m_ticks % kTicksPerMetricsUpdate == 0) UpdateMetrics();
@@ -200,6 +246,7 @@
   ConfigPublisher m_publisher;
   ControlLinks m_links;
   Metrics* const m_metrics;
+  StallGuard m_guard{StallGuardSettings{}, ReadClocks()};
   bool m_sync_scheduled = false;
   int m_ticks = 0;
   ReplicaRole m_last_role = ReplicaRole::kStarting;
@@ -224,6 +271,14 @@
   m_impl->Submit(operator_name, change, std::move(on_outcome));
 }
 
+void ControlNode::OrderEvacuation(const std::string& data_centre,
+                                  bool is_active,
+                                  std::function<bool()> is_abandoned,
+                                  OnOutcome on_outcome) {
+  m_impl->OrderEvacuation({data_centre, is_active, 0}, std::move(is_abandoned),
+                          std::move(on_outcome));
+}
+
 void ControlNode::Read(ReadReplica read) { m_impl->Read(std::move(read)); }
 LinkCounters ControlNode::Links() const { return m_impl->links().Counters(); }
 std::vector<NodeId> ControlNode::LinkedPeers() const {
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -56,6 +56,12 @@
               OnOutcome on_outcome);
   void Submit(const std::string& operator_name, const ReplicaChange& change,
               OnOutcome on_outcome);
+  // Starts or finishes the evacuation of a data centre. The order is not
+  // submitted if `is_abandoned` returns true after the state was read, or if
+  // the age of the call is unknown; see StallGuard.
+  void OrderEvacuation(const std::string& data_centre, bool is_active,
+                       std::function<bool()> is_abandoned,
+                       OnOutcome on_outcome);
   void Read(ReadReplica read);
 
   LinkCounters Links() const;
--- a/src/ctl_commands.cc
+++ b/src/ctl_commands.cc
@@ -253,6 +253,37 @@
   return Submit(client, options, "/v1/replicas/replace", change);
 }
 
+CtlResult RunEvacuations(OperatorClient* client, const CtlOptions& options,
+                         const Arguments&) {
+  const auto body = client->GetFromControl("/v1/evacuations");
+  if (!body) return ErrorResult(body.error());
+  if (options.json) return {CtlExit::kDone, Dump(*body), ""};
+  return {CtlExit::kDone,
+          FormatTable(MakeRows(body->at("evacuations"),
+                               {"data_centre", "active", "log_index"})),
+          ""};
+}
+
+// An order has no id: one that finds the state as wanted changes nothing.
+CtlResult RunEvacuate(OperatorClient* client, const CtlOptions& options,
+                      const Arguments& arguments) {
+  const bool is_valid = arguments.size() == 2 &&
+                        (arguments[1] == "start" || arguments[1] == "finish");
+  if (!is_valid) return Usage("evacuate needs DATA_CENTRE start|finish");
+  const SubmitResult answer = client->Submit(
+      "/v1/evacuations",
+      {{"data_centre", arguments[0]}, {"active", arguments[1] == "start"}});
+  CtlResult result{ExitCodeOf(answer.outcome), "", ""};
+  result.out = options.json ? Dump(answer.body)
+                            : std::string(Name(answer.outcome)) + "\n";
+  if (answer.outcome == SubmitOutcome::kAccepted) return result;
+  const auto error = answer.body.find("error");
+  if (answer.body.is_object() && error != answer.body.end()) {
+    result.err = Cell(*error, "message") + "\n";
+  }
+  return result;
+}
+
 CtlResult ShowHistograms(OperatorClient* client, const CtlOptions& options) {
   const auto list = GetFromBalancers(client, "/v1/histograms", "histograms");
   if (!list) return ErrorResult(list.error());
@@ -321,6 +352,10 @@
       {"drain", "TARGET", "stops new flows to a target, given by id", RunDrain},
       {"replace", "", "replaces a control VM: --remove=ID, --add=ID or both",
        RunReplace},
+      {"evacuations", "", "lists the data centres that are or were evacuated",
+       RunEvacuations},
+      {"evacuate", "DATA_CENTRE start|finish",
+       "starts or finishes the evacuation of a data centre", RunEvacuate},
   };
   return *kCommands;
 }
--- a/src/operator_client.h
+++ b/src/operator_client.h
@@ -57,7 +57,8 @@
  public:
   OperatorClient(OperatorClientSettings settings, OperatorClientHooks hooks);
 
-  // Posts a change to the control VMs. `change` must have an "id".
+  // Posts a change to the control VMs. `change` must have an "id" unless it may
+  // be repeated without one.
   SubmitResult Submit(const std::string& path, const nlohmann::json& change);
   // Queries the control VMs in order until one returns a configuration that is
   // not stale. Returns the newest configuration received.
--- a/tests/evacuation_order_test.cc
+++ b/tests/evacuation_order_test.cc
@@ -168,8 +168,9 @@
       AssertOutcome(cluster.get(), request, OutcomeKind::kAccepted);
     }
     RegisterState older;
-    for (const auto& [index, value] : values)
+    for (const auto& [index, value] : values) {
       ApplyAsOlderVersion(&older, value);
+    }
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, older.document().version.value);
     CPPUNIT_ASSERT(values.size() >= 2);
     AssertAll(cluster.get(), true);
