Test of held evacuation orders under loss of messages

Orders follow each other at random replicas while attempts are held for up to 3 s and a tenth of the messages is lost; some orders are given up by their operator. The test fails if the index check is removed, and also if an order that changes nothing renews no index (both tried on the code).

--- a/tests/evacuation_order_test.cc
+++ b/tests/evacuation_order_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(OrderIsRepeatedAfterTheProposerIsLost);
   CPPUNIT_TEST(OrderSurvivesTheDisksOfAMinorityAndARestart);
   CPPUNIT_TEST(OlderVersionKeepsNeighbouringDocuments);
+  CPPUNIT_TEST(HeldOrdersNeverUndoAnAcknowledgedOne);
   CPPUNIT_TEST(AgeIsUnknownAfterACatchUp);
   CPPUNIT_TEST(StallMakesAgesUnknown);
   CPPUNIT_TEST_SUITE_END();
@@ -178,6 +179,49 @@
     AssertAll(cluster.get(), true);
   }
 
+  // Orders one after the other while the network loses messages. Some attempts
+  // are held after they read the index and submitted up to 3 s later.
+  void HeldOrdersNeverUndoAnAcknowledgedOne() {
+    for (std::uint64_t seed = 1; seed <= 15; ++seed) {
+      const auto cluster = MakeCluster(5, seed);
+      const auto random = [&](std::uint64_t n) {
+        return cluster->Random() % n;
+      };
+      cluster->delivery_delays = [&](NodeId, NodeId) {
+        std::vector<Duration> delays;
+        if (random(10) != 0) delays.push_back(milliseconds(1 + random(20)));
+        return delays;
+      };
+      std::multimap<TimePoint, std::pair<std::uint32_t, EvacuationOrder>> held;
+      std::uint64_t request = 0;
+      for (int step = 0; step < 20; ++step) {
+        const bool is_active = random(2) == 0;
+        const auto late_id = static_cast<std::uint32_t>(1 + random(5));
+        held.emplace(
+            cluster->now + milliseconds(random(3'000)),
+            std::pair(late_id, MakeOrder(cluster.get(), late_id, is_active)));
+        const bool gives_up = random(3) == 0;
+        if (gives_up) continue;
+        bool is_acknowledged = false;
+        for (int attempt = 0; attempt < 20 && !is_acknowledged; ++attempt) {
+          Submit(cluster.get(), 1 + random(5), ++request, is_active);
+          cluster->Run(milliseconds(300));
+          const auto answer = cluster->answers.find(request);
+          is_acknowledged = answer != cluster->answers.end() &&
+                            answer->second.kind == OutcomeKind::kAccepted;
+        }
+        CPPUNIT_ASSERT(is_acknowledged);
+        while (!held.empty() && held.begin()->first <= cluster->now) {
+          const auto [id, order] = held.begin()->second;
+          held.erase(held.begin());
+          Submit(cluster.get(), id, 1'000 + ++request, order);
+        }
+        cluster->Run(milliseconds(random(1'500)));
+        AssertNewest(cluster.get(), is_active);
+      }
+    }
+  }
+
   // A balancer would shift flows gradually although the bound is near.
   void AgeIsUnknownAfterACatchUp() {
     const TimePoint now{kSecond};
@@ -275,6 +319,19 @@
     return cluster->nodes[NodeId{id}].replica->evacuations().IsEvacuated(kName);
   }
 
+  // Replicas that lag behind may still have an older state.
+  static void AssertNewest(TestCluster* cluster, bool is_active) {
+    const Replica* newest = nullptr;
+    std::uint64_t index = 0;
+    for (auto& [id, node] : cluster->nodes) {
+      const std::uint64_t own = node.replica->Status(cluster->now).log_index;
+      if (newest != nullptr && own <= index) continue;
+      newest = node.replica.get();
+      index = own;
+    }
+    CPPUNIT_ASSERT_EQUAL(is_active, newest->evacuations().IsEvacuated(kName));
+  }
+
   static void AssertAll(TestCluster* cluster, bool is_active) {
     for (auto& [id, node] : cluster->nodes) {
       if (!node.replica) continue;
