Edge: received packets are counted and reported to the link model

Cause: the model ignores round trips while the link is full of received packets, and operators could not see what was received. Change: PacedSender::OnReceived and its two counters. Measured: BalancerQueue 7, LinkAdmission 7, PacedSender 7, CookieBalancer 33, BalancerStall 4, FlowPlacement 19 passed; sardinelead-edge builds.

--- a/src/paced_sender.cc
+++ b/src/paced_sender.cc
@@ -130,7 +130,8 @@
     case ScheduleResult::kQueued:
       m_queued.Add(bytes);
       if (IsReported(packet)) m_balancer->OnQueued(packet.flow);
-      // A small urgent packet may be due before the one that OnWake() waits for.
+      // A small urgent packet may be due before the one that OnWake() waits
+      // for.
       if (!m_is_armed || packet.is_urgent) OnWake(now);
       return;
     case ScheduleResult::kDropped:
--- a/src/paced_sender.h
+++ b/src/paced_sender.h
@@ -66,6 +66,12 @@
   void Reset(const Forwarding& reset, const Endpoint& to, ByteView datagram,
              TimePoint now);
   void OnWake(TimePoint now);
+  // A packet was received. A link that is full of them tells nothing about the
+  // other direction.
+  void OnReceived(std::size_t bytes, TimePoint now) {
+    m_received.Add(bytes);
+    m_link.OnReceived(bytes, now);
+  }
   // Traffic that is not paced, but takes its time on the link.
   void OnOtherTraffic(std::size_t bytes, TimePoint now);
 
@@ -104,7 +110,8 @@
                 ByteView head, ByteView body, TimePoint now);
   void OnSent(const ScheduledPacket& packet, Duration waited);
   void OnDropped(const ScheduledPacket& packet, ScheduleDropReason reason);
-  Tally MakeTally(const std::string& result);
+  // The counters are called `prefix`_packets_total and `prefix`_bytes_total.
+  Tally MakeTally(const std::string& prefix, const Labels& labels);
   void PrepareMetrics();
 
   CookieBalancer* m_balancer;
@@ -117,6 +124,7 @@
   TimePoint m_now;          // Of the call in progress.
   // The packet that is being added to the scheduler.
   const ScheduledPacket* m_added = nullptr;
+  Tally m_received;
   Tally m_sent;    // At once.
   Tally m_queued;  // Sent later, or dropped and then counted again.
   // Of the bytes, only data. Indexed by ScheduleDropReason.
--- a/src/paced_sender_metrics.cc
+++ b/src/paced_sender_metrics.cc
@@ -9,19 +9,26 @@
 #include "paced_sender.h"
 
 namespace sardinelead {
+namespace {
+
+constexpr char kPrefix[] = "sardinelead_link";
+
+}  // namespace
 
 void PacedSender::PrepareMetrics() {
   m_metrics->Describe("sardinelead_link_packets_total",
                       "Packets by what became of them at this VM's link.");
   m_metrics->Describe("sardinelead_link_wait_seconds",
                       "Waits of the packets that had to wait for the link.");
-  m_sent = MakeTally("sent");
-  m_queued = MakeTally("queued");
+  m_received = MakeTally("sardinelead_link_received", {});
+  m_sent = MakeTally(kPrefix, {{"result", "sent"}});
+  m_queued = MakeTally(kPrefix, {{"result", "queued"}});
   for (std::size_t i = 0; i < m_dropped.size(); ++i) {
     const auto reason = static_cast<ScheduleDropReason>(i);
     const char* prefix =
         reason == ScheduleDropReason::kDuplicate ? "" : "dropped-";
-    m_dropped[i] = MakeTally(std::string(prefix) + Name(reason));
+    m_dropped[i] =
+        MakeTally(kPrefix, {{"result", std::string(prefix) + Name(reason)}});
   }
   if (!m_link.IsLimited()) return;
   for (std::size_t i = 0; i < m_waits.size(); ++i) {
@@ -33,13 +40,12 @@
   }
 }
 
-PacedSender::Tally PacedSender::MakeTally(const std::string& result) {
-  const Labels labels{{"result", result}};
+PacedSender::Tally PacedSender::MakeTally(const std::string& prefix,
+                                          const Labels& labels) {
   Tally tally;
   tally.packet_counter =
-      m_metrics->FindCounter("sardinelead_link_packets_total", labels);
-  tally.byte_counter =
-      m_metrics->FindCounter("sardinelead_link_bytes_total", labels);
+      m_metrics->FindCounter(prefix + "_packets_total", labels);
+  tally.byte_counter = m_metrics->FindCounter(prefix + "_bytes_total", labels);
   return tally;
 }
 
@@ -49,6 +55,7 @@
 }
 
 void PacedSender::Publish(TimePoint now) {
+  m_received.Publish();
   m_sent.Publish();
   m_queued.Publish();
   for (Tally& tally : m_dropped) tally.Publish();
