Route table: warm-up time and rate of a pool

Targets that are warming up can take few requests, and each balancer must know which pools limit them. A pool without a warm-up is encoded as before, since earlier versions refuse the longer form.

--- a/include/sardinelead/route_table.h
+++ b/include/sardinelead/route_table.h
@@ -60,6 +60,12 @@
   std::string name;
   std::string health_path;
   std::uint32_t max_flows = 0;  // Per target; 0 means unlimited.
+  // Time after a target's start in which it is warming up; 0 if the pool states
+  // none. In whole milliseconds.
+  Duration warm_up{0};
+  // New flows a second that a target can handle while it is warming up. In
+  // whole thousandths.
+  double warm_up_rate = 0;
 };
 bool operator==(const Pool& a, const Pool& b);
 
@@ -89,6 +95,8 @@
   Result<void> Apply(const RouteChange& change);
   // Returns nullptr if no route has this address. Costs one hash lookup.
   const Route* Find(const Endpoint& address) const;
+  // Returns nullptr if no pool has this name. Costs one pass over the pools.
+  const Pool* FindPool(const std::string& name) const;
   std::set<std::string> PoolNames() const;
 
  private:
--- a/src/route_encoding.cc
+++ b/src/route_encoding.cc
@@ -1,5 +1,6 @@
 #include "route_encoding.h"
 
+#include <cmath>
 #include <utility>
 
 namespace sardinelead {
@@ -28,7 +29,14 @@
 json PoolsToJson(const std::vector<Pool>& pools) {
   json list = json::array();
   for (const Pool& pool : pools) {
-    list.push_back(json::array({pool.name, pool.health_path, pool.max_flows}));
+    json item = json::array({pool.name, pool.health_path, pool.max_flows});
+    // Tables without warm-ups stay readable for earlier versions.
+    if (pool.warm_up > Duration{0}) {
+      item.push_back(DurationToJson(pool.warm_up));
+      item.push_back(static_cast<std::uint64_t>(
+          std::llround(pool.warm_up_rate * kRateSteps)));
+    }
+    list.push_back(std::move(item));
   }
   return list;
 }
--- a/src/route_encoding.h
+++ b/src/route_encoding.h
@@ -17,6 +17,8 @@
 
 nlohmann::json RoutesToJson(const std::vector<Route>& routes);
 nlohmann::json PoolsToJson(const std::vector<Pool>& pools);
+// Unit of encoded rates: thousandths of a flow a second.
+constexpr double kRateSteps = 1000;
 // In whole milliseconds.
 nlohmann::json DurationToJson(Duration duration);
 
--- a/src/route_table.cc
+++ b/src/route_table.cc
@@ -1,5 +1,6 @@
 #include "sardinelead/route_table.h"
 
+#include <algorithm>
 #include <numeric>
 #include <set>
 #include <unordered_set>
@@ -71,7 +72,8 @@
 
 bool operator==(const Pool& a, const Pool& b) {
   return a.name == b.name && a.health_path == b.health_path &&
-         a.max_flows == b.max_flows;
+         a.max_flows == b.max_flows && a.warm_up == b.warm_up &&
+         a.warm_up_rate == b.warm_up_rate;
 }
 
 const std::string& Route::SelectPool(std::uint64_t flow_hash) const {
@@ -144,6 +146,13 @@
   return found == m_by_address.end() ? nullptr : &routes[found->second];
 }
 
+const Pool* RouteTable::FindPool(const std::string& name) const {
+  const auto found =
+      std::find_if(pools.begin(), pools.end(),
+                   [&](const Pool& pool) { return pool.name == name; });
+  return found == pools.end() ? nullptr : &*found;
+}
+
 std::set<std::string> RouteTable::PoolNames() const {
   std::set<std::string> names;
   for (const Pool& pool : pools) names.insert(pool.name);
--- a/src/route_table_reader.cc
+++ b/src/route_table_reader.cc
@@ -6,6 +6,8 @@
 #include <string>
 #include <utility>
 
+#include "route_encoding.h"
+
 namespace sardinelead {
 namespace {
 
@@ -33,7 +35,15 @@
   kRouteShares,
   kRouteSize,
 };
-enum PoolField : std::size_t { kPoolName, kHealthPath, kMaxFlows, kPoolSize };
+enum PoolField : std::size_t {
+  kPoolName,
+  kHealthPath,
+  kMaxFlows,
+  kPoolSize,  // Of a pool without a warm-up.
+  kWarmUp = kPoolSize,
+  kWarmUpRate,
+  kWarmingPoolSize,
+};
 enum ShareField : std::size_t { kShareName, kWeight, kShareSize };
 
 // Each callback returns false to stop at a value that the form does not have.
@@ -64,10 +74,7 @@
     if (!fits) return false;
     const auto number = static_cast<std::uint32_t>(value);
     if (m_level == kItem && IsRoute()) return SetRouteNumber(field, number);
-    if (m_level == kItem && field == kMaxFlows) {
-      m_table.pools.back().max_flows = number;
-      return true;
-    }
+    if (m_level == kItem) return SetPoolNumber(field, number);
     const bool is_weight = m_level == kShare && field == kWeight;
     if (is_weight) m_table.routes.back().pools.back().weight = number;
     return is_weight;
@@ -127,8 +134,8 @@
       case kTable:
         return size == kTableSize;
       case kItem:
-        return size ==
-               (IsRoute() ? std::size_t{kRouteSize} : std::size_t{kPoolSize});
+        if (IsRoute()) return size == kRouteSize;
+        return size == kPoolSize || size == kWarmingPoolSize;
       case kShare:
         return size == kShareSize;
       default:
@@ -167,6 +174,23 @@
     }
   }
 
+  bool SetPoolNumber(std::size_t field, std::uint32_t number) {
+    Pool& pool = m_table.pools.back();
+    switch (field) {
+      case kMaxFlows:
+        pool.max_flows = number;
+        return true;
+      case kWarmUp:
+        pool.warm_up = std::chrono::milliseconds(number);
+        return true;
+      case kWarmUpRate:
+        pool.warm_up_rate = number / kRateSteps;
+        return true;
+      default:
+        return false;
+    }
+  }
+
   bool SetRouteText(std::size_t field, std::string* text) {
     Route& route = m_table.routes.back();
     if (field == kRouteName) {
--- a/src/route_table_reader.h
+++ b/src/route_table_reader.h
@@ -7,7 +7,11 @@
 //
 //   [version, [route...], [pool...], idle timeout in ms]
 //   route: [name, address, kind, timeout ms, objective ms, priority,
-//   [share...]] share: [pool, weight] pool:  [name, health path, most flows]
+//           [share...]]
+//   share: [pool, weight]
+//   pool:  [name, health path, most flows]
+//       or [name, health path, most flows, warm-up ms, thousandths of a flow a
+//           second during the warm-up]
 
 #include <optional>
 
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -83,6 +83,7 @@
   CPPUNIT_TEST(LateDeregistrationEndsNoLaterProcess);
   CPPUNIT_TEST(ReadsConfigurations);
   CPPUNIT_TEST(ReadsEachRequestKind);
+  CPPUNIT_TEST(ReadsWarmUps);
   CPPUNIT_TEST(ConfigurationErrorsNameTheKey);
   CPPUNIT_TEST(RejectsTruncatedText);
   CPPUNIT_TEST(DocumentsKeepTheOperatorsText);
@@ -388,6 +389,26 @@
     AssertRejected(unknown, "routes[0].type", DecodeConfig);
   }
 
+  void ReadsWarmUps() {
+    json config = MakeConfig();
+    json& service = config["services"][0];
+    service["warmupS"] = 12.0005;
+    service["warmupPerS"] = 2.3;
+    const auto table = DecodeConfig(config.dump());
+    CPPUNIT_ASSERT(table.has_value());
+    CPPUNIT_ASSERT(table->pools[0].warm_up ==
+                   std::chrono::milliseconds(12'001));
+    CPPUNIT_ASSERT_EQUAL(2.3, table->pools[0].warm_up_rate);
+    CPPUNIT_ASSERT(table->pools[1].warm_up == Duration{0});
+    for (const char* key : {"warmupS", "warmupPerS"}) {
+      for (const json& value : {json(-0.5), json(1e300), json("1")}) {
+        json odd = MakeConfig();
+        odd["services"][1][key] = value;
+        AssertRejected(odd, std::string("services[1].") + key, DecodeConfig);
+      }
+    }
+  }
+
   void ConfigurationErrorsNameTheKey() {
     json unknown = MakeConfig();
     unknown["routes"][0]["service"] = "nowhere";
--- a/tests/route_table_test.cc
+++ b/tests/route_table_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "route_encoding.h"
+
 namespace sardinelead {
 namespace {
 
@@ -31,6 +33,7 @@
 class RouteTableTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RouteTableTest);
   CPPUNIT_TEST(EncodingRoundTrips);
+  CPPUNIT_TEST(OnlyPoolsWithWarmUpHaveALongerForm);
   CPPUNIT_TEST(RejectsCorruptBytes);
   CPPUNIT_TEST(FindsRoutesByAddressAndPort);
   CPPUNIT_TEST(RejectsInvalidTables);
@@ -52,6 +55,21 @@
     CPPUNIT_ASSERT(read->idle_timeout == std::chrono::seconds(12));
   }
 
+  // Earlier versions refuse the longer form.
+  void OnlyPoolsWithWarmUpHaveALongerForm() {
+    RouteTable table = MakeTable();
+    table.pools[0].warm_up_rate = 9;  // Without a warm-up it has no effect.
+    const auto pools = PoolsToJson(table.pools);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, pools[0].size());
+    table.pools[1].warm_up = std::chrono::milliseconds(12'500);
+    table.pools[1].warm_up_rate = 2.3;
+    const auto read = DecodeRouteTable(EncodeRouteTable(table));
+    CPPUNIT_ASSERT(read.has_value());
+    CPPUNIT_ASSERT(read->pools[0] == MakeTable().pools[0]);
+    CPPUNIT_ASSERT(read->pools[1] == table.pools[1]);
+    CPPUNIT_ASSERT_EQUAL(2.3, read->FindPool("gallery")->warm_up_rate);
+  }
+
   // Truncated input is rejected; a flipped byte is rejected or gives a table
   // that passes Check().
   void RejectsCorruptBytes() {
