--- a/include/sardinelead/feed_publisher.h
+++ b/include/sardinelead/feed_publisher.h
@@ -23,8 +23,9 @@
   NodeId node;
   std::string data_centre;
   bool is_control = false;
-  ConfigVersion version;  // Of the routes that it has.
-  Duration silent{0};     // Time since its last poll.
+  ConfigVersion version;    // Of the routes that it has.
+  Duration silent{0};       // Time since its last poll, or its invitation.
+  bool has_polled = false;  // Since this process started.
 };
 
 // What a publisher has done since its start.
--- a/include/sardinelead/route_history.h
+++ b/include/sardinelead/route_history.h
@@ -28,6 +28,7 @@
   void Add(RouteTable table);
   // 0 before the first table.
   ConfigVersion version() const { return m_table.version; }  // NOLINT
+  const RouteTable& table() const { return m_table; }        // NOLINT
   // What a subscriber with version `held` lacks. `held` must be older than
   // version(); 0 gives the whole table.
   RouteUpdate UpdateFrom(ConfigVersion held);
--- a/include/sardinelead/target_directory.h
+++ b/include/sardinelead/target_directory.h
@@ -29,6 +29,7 @@
 #include <vector>
 
 #include "sardinelead/types.h"
+#include "sardinelead/warm_up_grant.h"
 
 namespace sardinelead {
 
@@ -74,6 +75,8 @@
     TimePoint ended_at;  // Set if the state is kEnded.
     // The directory's revision at the last change of the entry.
     std::uint64_t revision = 0;
+    // The grant for this start of the target; empty if none is known.
+    std::optional<WarmUpShares> warm_up_shares;
   };
 
   // Called when a target is found to have ended because `successor`, which
@@ -90,6 +93,10 @@
 
   AnnouncementEffect Take(const TargetAnnouncement& received,
                           TimePoint heard_at);
+  // Sets the grant for the target's start at `started_ms`, which changes the
+  // entry. Ignored unless that is the present start and it has no grant yet.
+  void SetWarmUpShares(std::uint64_t number, std::uint64_t started_ms,
+                       const WarmUpShares& shares);
   // Records that a heartbeat without an announcement arrived at `heard_at`.
   void Renew(std::uint32_t cookie, TimePoint heard_at);
   // Removes targets whose last heartbeat was received at least `age` ago.
--- a/src/feed_follower.cc
+++ b/src/feed_follower.cc
@@ -134,13 +134,18 @@
 void FeedFollower::ApplyTargets(const std::vector<ReportedTarget>& targets,
                                 Source* source, TimePoint now) {
   for (const ReportedTarget& target : targets) {
-    m_directory->Take(target.announcement, DirectoryTime(now) - target.silent);
+    const TargetAnnouncement& announcement = target.announcement;
+    m_directory->Take(announcement, DirectoryTime(now) - target.silent);
+    if (target.warm_up_shares) {
+      m_directory->SetWarmUpShares(announcement.number, announcement.started_ms,
+                                   *target.warm_up_shares);
+    }
     const bool is_alive =
-        target.is_heard && target.announcement.state != AnnouncedState::kEnded;
+        target.is_heard && announcement.state != AnnouncedState::kEnded;
     if (is_alive) {
-      source->targets.insert(target.announcement.number);
+      source->targets.insert(announcement.number);
     } else {
-      source->targets.erase(target.announcement.number);
+      source->targets.erase(announcement.number);
     }
   }
 }
--- a/src/feed_message.cc
+++ b/src/feed_message.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cbor.h"
+#include "warm_up_encoding.h"
 
 namespace sardinelead {
 namespace {
@@ -27,12 +28,14 @@
 
 json ToJson(const ReportedTarget& target) {
   const TargetAnnouncement& announcement = target.announcement;
-  return json::array(
+  json item = json::array(
       {announcement.number, announcement.started_ms, announcement.sequence,
        static_cast<std::uint64_t>(announcement.state), announcement.pool,
        announcement.address.ToString(), announcement.data_centre,
        std::uint64_t{announcement.slots}, ToMs(announcement.warm_up_left),
        ToMs(target.silent), ToNumber(target.is_heard)});
+  if (target.warm_up_shares) item.push_back(ToJson(*target.warm_up_shares));
+  return item;
 }
 
 // Encodes an absent report as an empty array.
@@ -86,6 +89,10 @@
   const bool is_duration = ReadDuration(&fields, &announcement.warm_up_left) &&
                            ReadDuration(&fields, &target->silent);
   target->is_heard = fields.Number() != 0;
+  if (!fields.AtEnd()) {
+    target->warm_up_shares = WarmUpSharesFromJson(fields.Array());
+    if (!target->warm_up_shares) return false;
+  }
   const bool is_valid =
       fields.ok() && is_duration && slots > 0 &&
       slots <= std::numeric_limits<std::uint32_t>::max() &&
@@ -172,9 +179,10 @@
 }
 
 std::size_t EncodedSizeLimit(const TargetAnnouncement& announcement) {
-  // Nine numbers of at most 9 bytes, an address of at most 22, and the heads of
-  // three texts and the array.
-  constexpr std::size_t kFixedBytes = 120;
+  // Nine numbers of at most 9 bytes, an address of at most 22, the heads of
+  // three texts and two arrays, and two numbers of at most 5 bytes for each
+  // owner of a warm-up share.
+  constexpr std::size_t kFixedBytes = 120 + 10 * kMaxWarmUpOwners;
   return kFixedBytes + announcement.pool.size() +
          announcement.data_centre.size();
 }
--- a/src/feed_message.h
+++ b/src/feed_message.h
@@ -48,6 +48,9 @@
   // Whether the target sends heartbeats to that control VM now. If so, the VM
   // includes it in its SilenceReport.
   bool is_heard = false;
+  // The grant for this start of the target, if there is one. Earlier versions
+  // ignore it.
+  std::optional<WarmUpShares> warm_up_shares = {};
 };
 
 struct SilentTarget {
--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -160,7 +160,8 @@
   std::vector<SubscriberStatus> all;
   for (const auto& [id, subscriber] : m_subscribers) {
     all.push_back({id, subscriber.data_centre, subscriber.is_control,
-                   subscriber.version, now - subscriber.polled_at});
+                   subscriber.version, now - subscriber.polled_at,
+                   subscriber.has_polled});
   }
   return all;
 }
@@ -321,10 +322,11 @@
     }
     const TimePoint heard_at =
         record.is_heard ? record.heard_at : entry->heard_at;
-    ReportedTarget target{entry->announcement, now - heard_at, record.is_heard};
-    const bool is_warm = entry->warm_at <= now;
+    ReportedTarget target{entry->announcement, now - heard_at, record.is_heard,
+                          entry->warm_up_shares};
+    // The receiver counts it from the heartbeat, as it does `silent`.
     target.announcement.warm_up_left =
-        is_warm ? Duration{0} : entry->warm_at - now;
+        std::max(Duration{0}, entry->warm_at - heard_at);
     targets.push_back(std::move(target));
   }
   changes.count = targets.size();
--- a/src/target_directory.cc
+++ b/src/target_directory.cc
@@ -6,6 +6,10 @@
 namespace sardinelead {
 namespace {
 
+// The end of a warm-up is known this exactly, as heartbeats are delayed by
+// different times.
+constexpr Duration kWarmUpTolerance = std::chrono::seconds(1);
+
 bool IsOlder(const TargetAnnouncement& a, const TargetAnnouncement& b) {
   if (a.started_ms != b.started_ms) return a.started_ms < b.started_ms;
   return a.sequence < b.sequence;
@@ -18,6 +22,15 @@
          a.data_centre == b.data_centre && a.slots == b.slots;
 }
 
+// Whether a target that was warm reports a warm-up, or one that ends later.
+bool HasTurnedCold(const TargetDirectory::Entry& entry,
+                   const TargetAnnouncement& received, TimePoint heard_at) {
+  if (received.warm_up_left <= Duration{0}) return false;
+  const TimePoint warm_at = heard_at + received.warm_up_left;
+  return entry.warm_at <= heard_at ||
+         warm_at - entry.warm_at > kWarmUpTolerance;
+}
+
 // Removes the entry of target `number` under `key`.
 template <typename Index, typename Key>
 void RemoveFromIndex(const Key& key, std::uint64_t number, Index* index) {
@@ -95,7 +108,10 @@
   const bool is_ended = entry->announcement.state == AnnouncedState::kEnded &&
                         entry->announcement.started_ms == received.started_ms;
   if (is_ended) return AnnouncementEffect::kStale;
-  if (!IsEquivalentForBalancers(entry->announcement, received)) {
+  const bool is_change =
+      !IsEquivalentForBalancers(entry->announcement, received) ||
+      HasTurnedCold(*entry, received, heard_at);
+  if (is_change) {
     return Replace(entry, received, heard_at);
   }
   entry->announcement = received;
@@ -111,6 +127,9 @@
     RemoveFromIndex(previous_address, announcement.number, &m_by_address);
     m_by_address.emplace(announcement.address, announcement.number);
   }
+  const bool is_new_start =
+      entry->announcement.started_ms != announcement.started_ms;
+  if (is_new_start) entry->warm_up_shares.reset();
   entry->announcement = announcement;
   entry->heard_at = std::max(entry->heard_at, heard_at);
   entry->warm_at = heard_at + announcement.warm_up_left;
@@ -148,6 +167,19 @@
   m_on_replaced(ended->announcement, successor->announcement);
 }
 
+void TargetDirectory::SetWarmUpShares(std::uint64_t number,
+                                      std::uint64_t started_ms,
+                                      const WarmUpShares& shares) {
+  const auto found = m_entries.find(number);
+  if (found == m_entries.end()) return;
+  Entry& entry = found->second;
+  const bool is_wanted = entry.announcement.started_ms == started_ms &&
+                         !entry.warm_up_shares.has_value();
+  if (!is_wanted) return;
+  entry.warm_up_shares = shares;
+  entry.revision = ++m_revision;
+}
+
 void TargetDirectory::Renew(std::uint32_t cookie, TimePoint heard_at) {
   const auto [begin, end] = m_by_cookie.equal_range(cookie);
   for (auto it = begin; it != end; ++it) {
--- a/tests/target_directory_test.cc
+++ b/tests/target_directory_test.cc
@@ -36,11 +36,48 @@
   CPPUNIT_TEST(EntryOfAnUnknownPoolEndsNoTarget);
   CPPUNIT_TEST(EntryOfAnUnknownPoolReplacesNoTarget);
   CPPUNIT_TEST(PoolThatIsConfiguredLaterTakesItsAddress);
+  CPPUNIT_TEST(SharesBelongToOneStart);
+  CPPUNIT_TEST(WarmUpWithoutRestartIsAChange);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override { m_directory.SetPools(kPools, m_now); }
 
+  // The shares of an earlier start may belong to other balancers.
+  void SharesBelongToOneStart() {
+    const WarmUpShares shares = {{NodeId{1}, 3}};
+    m_directory.SetWarmUpShares(1, 100, shares);  // Not announced yet.
+    m_directory.Take(MakeNews(1, 100, 1, "10.0.0.1:80"), m_now);
+    m_directory.SetWarmUpShares(1, 99, shares);
+    CPPUNIT_ASSERT(!m_directory.Find(1)->warm_up_shares);
+    const std::uint64_t revision = m_directory.revision();
+    m_directory.SetWarmUpShares(1, 100, shares);
+    m_directory.SetWarmUpShares(1, 100, {});
+    CPPUNIT_ASSERT(m_directory.Find(1)->warm_up_shares == shares);
+    CPPUNIT_ASSERT_EQUAL(revision + 1, m_directory.revision());
+    m_directory.Take(MakeNews(1, 100, 2, "10.0.0.1:80"), m_now);
+    CPPUNIT_ASSERT(m_directory.Find(1)->warm_up_shares == shares);
+    m_directory.Take(MakeNews(1, 101, 1, "10.0.0.1:80"), m_now);
+    CPPUNIT_ASSERT(!m_directory.Find(1)->warm_up_shares);
+  }
+
+  // Balancers get heartbeats without announcements unless something changed.
+  void WarmUpWithoutRestartIsAChange() {
+    TargetAnnouncement news = MakeNews(1, 100, 1, "10.0.0.1:80");
+    const auto take = [&](Duration left) {
+      ++news.sequence;
+      news.warm_up_left = left;
+      m_now += kSecond;
+      return m_directory.Take(news, m_now);
+    };
+    CPPUNIT_ASSERT(take(2 * kSecond) == AnnouncementEffect::kChanged);
+    CPPUNIT_ASSERT(take(kSecond) == AnnouncementEffect::kRenewed);
+    CPPUNIT_ASSERT(take(Duration{0}) == AnnouncementEffect::kRenewed);
+    CPPUNIT_ASSERT(take(9 * kSecond) == AnnouncementEffect::kChanged);
+    CPPUNIT_ASSERT(take(8 * kSecond) == AnnouncementEffect::kRenewed);
+    CPPUNIT_ASSERT(take(9 * kSecond) == AnnouncementEffect::kChanged);
+  }
+
   void StaleNewsIsIgnored() {
     TargetAnnouncement draining = MakeNews(1, 100, 5, "10.0.0.1:80");
     draining.state = AnnouncedState::kDraining;
--- a/tests/target_feed_test.cc
+++ b/tests/target_feed_test.cc
@@ -9,10 +9,12 @@
 #include <random>
 #include <set>
 
+#include "cbor.h"
 #include "feed_message.h"
 #include "sardinelead/feed_follower.h"
 #include "sardinelead/feed_publisher.h"
 #include "sardinelead/route_history.h"
+#include "warm_up_encoding.h"
 
 namespace sardinelead {
 namespace {
@@ -54,6 +56,8 @@
   CPPUNIT_TEST(MalformedMessagesAreReported);
   CPPUNIT_TEST(UnreadableTargetDoesNotHideTheOthers);
   CPPUNIT_TEST(TargetsWithLongNamesAreSplitAcrossReports);
+  CPPUNIT_TEST(SharesFollowAtOnceWithoutChangingOldEntries);
+  CPPUNIT_TEST(WarmUpEndsNoEarlierThanTheTargetSaid);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -483,6 +487,48 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, std::get<FeedPoll>(*poll).revision);
   }
 
+  // A balancer that learns its share late refuses flows meanwhile.
+  void SharesFollowAtOnceWithoutChangingOldEntries() {
+    SetRoutes(1);
+    ReceiveNews(NodeId{1}, 5, 1, AnnouncedState::kReady);
+    Run(2 * kSecond);
+    CPPUNIT_ASSERT(!m_directory.Find(5)->warm_up_shares);
+    const WarmUpShares shares = {{kBalancer, 7}, {NodeId{101}, 6}};
+    m_controls[1].directory.SetWarmUpShares(5, 1, shares);
+    Run(milliseconds(120));
+    CPPUNIT_ASSERT(m_directory.Find(5)->warm_up_shares == shares);
+    const ReportedTarget plain{
+        MakeNews(5, 1, AnnouncedState::kReady), {}, true};
+    ReportedTarget with = plain;
+    with.warm_up_shares = shares;
+    nlohmann::json old = FromCbor(*EncodeTargets({plain}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{11}, old[0].size());
+    const auto read = DecodeTargets(*EncodeTargets({with, plain}));
+    CPPUNIT_ASSERT(read->targets[0].warm_up_shares == shares);
+    CPPUNIT_ASSERT(!read->targets[1].warm_up_shares);
+    // Earlier versions read the first elements and ignore the others.
+    old[0].push_back(ToJson(shares));
+    old[0].push_back(1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         DecodeTargets(ToCbor(old))->unreadable);
+  }
+
+  // The report is made some time after the heartbeat that it is based on.
+  void WarmUpEndsNoEarlierThanTheTargetSaid() {
+    SetRoutes(1);
+    TargetAnnouncement news = MakeNews(5, 1, AnnouncedState::kReady);
+    news.warm_up_left = 5 * kSecond;
+    ControlVm& control = m_controls[1];
+    control.directory.Take(news, m_now);
+    control.publisher->OnTargetAnnounced(5, true, m_now);
+    const TimePoint warm_at = m_now + news.warm_up_left;
+    m_now += 2 * kSecond;
+    Run(kSecond);
+    const Duration left =
+        m_directory.Find(5)->warm_at - m_follower->CoveredTime();
+    CPPUNIT_ASSERT(m_now + left >= warm_at - milliseconds(1));
+  }
+
   // A report that exceeds the largest message would never arrive.
   void TargetsWithLongNamesAreSplitAcrossReports() {
     constexpr std::uint64_t kTargets = 300;
