CookieBalancer: new flows to warming-up targets need a share

Targets that are warming up in a pool with a quota are left out unless this balancer has a share with room; copies beyond it are dropped, and a flow for which only such targets are left is reset at once. Without the setting nothing changes.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -36,8 +36,14 @@
 // must not look like a failure of a target. Nor is it a failure that nothing
 // arrives.
 //
+// A target that is warming up, in a pool with a quota, gets opening packets
+// only within this balancer's share of the quota (warm_up_grant.h), and none if
+// the balancer has no share. Copies count. If no other target of the pool is
+// left for a new flow, the flow is reset at once.
+//
 //   Forwarding f = balancer.OnPacket(packet, now);
 //   balancer.OnDrained(read_at, sent_at);  // After the last pending packet.
+//   balancer.OnOpeningsSent(sent_at);
 //
 // docs/design/platform.md compares this design with flow records. Performs no
 // I/O itself. Not thread-safe. A packet costs a few hash lookups; an opening
@@ -59,6 +65,7 @@
 #include "sardinelead/route_table.h"
 #include "sardinelead/target_directory.h"
 #include "sardinelead/types.h"
+#include "sardinelead/warm_up_limiter.h"
 
 namespace sardinelead {
 
@@ -103,6 +110,8 @@
   kUnknownCookie,  // No known target has this cookie.
   kTargetEnded,    // Another process has the address of the flow's target.
   kNotReady,       // No route table received yet.
+  kWarmUpLimit,    // Only targets that are warming up are left, and their share
+                   // of new flows is used up or there is none.
   kCount,
 };
 const char* Name(ForwardReason reason);
@@ -165,6 +174,18 @@
   // Flow records without packets are removed after this long.
   Duration flow_idle_timeout = std::chrono::seconds(20);
   std::size_t max_flows = 200'000;
+  NodeId self;  // Whose shares of warm-up quotas apply here.
+  // Whether new flows to targets that are warming up are limited.
+  bool limits_warm_up = false;
+  // The time in which a share of flows a second may be sent. More than a
+  // second, since packets to a target may be delayed by different times.
+  Duration warm_up_window = std::chrono::milliseconds(1100);
+};
+
+// Opening packets, copies included, to targets whose warm-up is limited.
+struct WarmUpCounts {
+  std::uint64_t used = 0;     // Forwarded within a share.
+  std::uint64_t refused = 0;  // Reset or dropped with kWarmUpLimit.
 };
 
 class CookieBalancer {
@@ -199,6 +220,13 @@
   // been passed to OnPacket(), and what was to be forwarded had been sent by
   // `sent_at`. Must also be called every 50 ms while no packets arrive.
   void OnDrained(TimePoint read_at, TimePoint sent_at);
+  // Every opening packet that was to be forwarded had been passed to the kernel
+  // by `sent_at`; none waits in a queue of this process. Until then it holds
+  // its place in the share of a warm-up. Must be called as often as
+  // OnDrained().
+  void OnOpeningsSent(TimePoint sent_at) {
+    m_warm_up_limiter.OnAllSent(sent_at);
+  }
   // This process or its kernel dropped packets. Those forwarded so far say
   // nothing about targets.
   void OnPacketsDropped() { m_progress.OnPacketsDropped(); }
@@ -210,6 +238,11 @@
   std::size_t flow_count() const { return m_flows.size(); }       // NOLINT
   const FlowPlacement& placement() const { return m_placement; }  // NOLINT
   const RouteTable& routes() const { return m_routes; }           // NOLINT
+  const WarmUpCounts& warm_up_counts() const {                    // NOLINT
+    return m_warm_up_counts;
+  }
+  // Number of targets that may not take a new flow now for their warm-up.
+  std::size_t CountWithheld(TimePoint now) const;
 
  private:
   struct Flow {
@@ -245,6 +278,12 @@
                                                     TimePoint now);
   bool HasValidLease(const TargetDirectory::Entry& entry) const;
   void RebuildTargetLists(TimePoint now);
+  bool IsWarmingUp(const TargetDirectory::Entry& entry) const;
+  std::optional<std::uint32_t> WarmUpShareFor(
+      const TargetDirectory::Entry& entry) const;
+  const std::vector<PlacementTarget>& WithoutWithheld(
+      const std::vector<PlacementTarget>& targets, TimePoint now);
+  bool TakeWarmUpShare(const TargetDirectory::Entry& entry, TimePoint now);
   void AddRemovedRoute(const Endpoint& address);
   ForwardReason UpdateFlow(const FlowPacket& packet, std::uint64_t target,
                            TimePoint now);
@@ -278,6 +317,12 @@
   std::unordered_map<std::string, std::vector<PlacementTarget>> m_targets;
   std::uint64_t m_targets_revision = 0;
   TimePoint m_targets_built_at;
+  // The shares of the targets in m_targets whose warm-up is limited; 0 if this
+  // balancer has none.
+  std::unordered_map<std::uint64_t, std::uint32_t> m_warm_up_shares;
+  WarmUpLimiter m_warm_up_limiter;
+  WarmUpCounts m_warm_up_counts;
+  std::vector<PlacementTarget> m_eligible;  // Result of WithoutWithheld().
 };
 
 }  // namespace sardinelead
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -44,6 +44,8 @@
       return "target-ended";
     case ForwardReason::kNotReady:
       return "not-ready";
+    case ForwardReason::kWarmUpLimit:
+      return "warm-up-limit";
     case ForwardReason::kCount:
       break;
   }
@@ -69,7 +71,8 @@
     : m_settings(std::move(settings)),
       m_directory(directory),
       m_hooks(std::move(hooks)),
-      m_placement(m_settings.placement) {}
+      m_placement(m_settings.placement),
+      m_warm_up_limiter(m_settings.warm_up_window) {}
 
 void CookieBalancer::SetRoutes(RouteTable routes) {
   if (!(m_routes.version < routes.version)) return;
@@ -77,6 +80,7 @@
     if (routes.Find(route.address) == nullptr) AddRemovedRoute(route.address);
   }
   m_routes = std::move(routes);
+  m_targets_built_at = TimePoint{};
   for (const Route& route : m_routes.routes) {
     m_removed_routes.erase(route.address);
   }
@@ -85,6 +89,7 @@
 Result<void> CookieBalancer::ApplyRouteChange(const RouteChange& change) {
   auto applied = m_routes.Apply(change);
   if (!applied) return applied;
+  m_targets_built_at = TimePoint{};
   for (const Endpoint& address : change.removed) AddRemovedRoute(address);
   for (const Route& route : change.changed) {
     m_removed_routes.erase(route.address);
@@ -155,12 +160,18 @@
   if (packet.is_copy) return Drop(packet, ForwardReason::kUnplacedCopy);
   RemoveFlow(packet.flow);  // An earlier flow with the same addresses.
   const Route& route = *m_routes.Find(packet.flow.service);
-  const auto& targets =
-      TargetsInPool(route.SelectPool(packet.flow.Hash()), now);
+  const auto& known = TargetsInPool(route.SelectPool(packet.flow.Hash()), now);
+  const auto& targets = WithoutWithheld(known, now);
   const auto chosen =
       m_placement.Choose(targets, m_hooks.balancers(), m_hooks.random(), now);
   const TargetDirectory::Entry* entry =
       chosen ? m_directory->Find(*chosen) : nullptr;
+  const bool is_limited = entry == nullptr ? targets.size() < known.size()
+                                           : !TakeWarmUpShare(*entry, now);
+  if (is_limited) {
+    ++m_warm_up_counts.refused;
+    return MakeReset(packet, ForwardReason::kWarmUpLimit);
+  }
   if (entry == nullptr) {
     Forwarding out = MakeReset(packet, ForwardReason::kNoTarget);
     if (m_hooks.is_gathering()) out.action = ForwardAction::kHold;
@@ -185,6 +196,10 @@
   if (entry == nullptr || flow->is_closed) {
     return Drop(packet, ForwardReason::kUnplacedCopy);
   }
+  if (!TakeWarmUpShare(*entry, now)) {
+    ++m_warm_up_counts.refused;
+    return Drop(packet, ForwardReason::kWarmUpLimit);
+  }
   return ForwardTo(*entry, packet.flow, ForwardReason::kPlacedCopy);
 }
 
@@ -339,13 +354,16 @@
 void CookieBalancer::RebuildTargetLists(TimePoint now) {
   std::unordered_map<std::string, std::vector<PlacementTarget>> silent;
   m_targets.clear();
+  m_warm_up_shares.clear();
   for (const auto& [number, entry] : m_directory->entries()) {
     if (entry.announcement.state != AnnouncedState::kReady) continue;
     PlacementTarget target;
     target.number = number;
     target.slots = entry.announcement.slots;
     target.is_local = entry.announcement.data_centre == m_settings.data_centre;
-    target.is_warming_up = m_hooks.covered_time() < entry.warm_at;
+    target.is_warming_up = IsWarmingUp(entry);
+    const auto share = WarmUpShareFor(entry);
+    if (share) m_warm_up_shares.emplace(number, *share);
     target.heard_at = now - (m_hooks.covered_time() - entry.heard_at);
     auto& list = HasValidLease(entry) ? m_targets : silent;
     list[entry.announcement.pool].push_back(target);
@@ -368,6 +386,7 @@
 std::vector<Forwarding> CookieBalancer::Sweep(TimePoint now) {
   if (now - m_health_reported_at >= kReportInterval) ReportHealthChanges(now);
   ExpireFlows(now);
+  m_warm_up_limiter.RemoveIdle(now);
   return ResetFlowsOfEndedTargets();
 }
 
--- a/tests/cookie_balancer_fixture.h
+++ b/tests/cookie_balancer_fixture.h
@@ -32,8 +32,7 @@
   inline static const Endpoint kNotes = *Endpoint::Parse("198.18.0.1:8080");
   static constexpr std::uint32_t kAcknowledged = 5000;
   static constexpr std::uint32_t kSequence = 1000;
-  CookieBalancer MakeBalancer() {
-    CookieBalancerSettings settings;
+  CookieBalancer MakeBalancer(CookieBalancerSettings settings = {}) {
     settings.data_centre = "a";
     return CookieBalancer(
         settings, &m_directory,
@@ -134,7 +133,10 @@
     m_balancer.OnPacket(packet, m_now);
   }
   // Everything that arrived until now has been read.
-  void DrainAt(TimePoint at) { m_balancer.OnDrained(at, at); }
+  void DrainAt(TimePoint at) {
+    m_balancer.OnDrained(at, at);
+    m_balancer.OnOpeningsSent(at);
+  }
   void Drain() { DrainAt(m_now); }
   // Lets time pass as a process without stalls and without packets does. No
   // flow may be reset meanwhile.
