Control VM: warm-up grants are decided by the register

Two control VMs may know different balancers, so the owners of a quota are decided by a command, kWarmUpGrant, whose first grant for a start of a target is kept. Its log values hold no other kind, since replicas of an earlier version skip the whole value. The control plane proposes grants for cold targets once a tick while it has a quorum, sets decided shares in its directory, which the feed carries, and logs warm-up-granted.

--- a/include/sardinelead/replica.h
+++ b/include/sardinelead/replica.h
@@ -36,6 +36,7 @@
 #include "sardinelead/journal.h"
 #include "sardinelead/message.h"
 #include "sardinelead/types.h"
+#include "sardinelead/warm_up_grant.h"
 
 namespace sardinelead {
 
@@ -186,6 +187,10 @@
   // The outcome of an accepted document carries the document's own version.
   ReplicaOutput Submit(std::uint64_t request_id, const Document& document,
                        TimePoint deadline, TimePoint now);
+  // Proposes grants for targets that are warming up. Unanswered; the decided
+  // ones are in warm_up_grants(). Dropped at the deadline.
+  ReplicaOutput Submit(const std::vector<WarmUpGrant>& grants,
+                       TimePoint deadline, TimePoint now);
   // Requests a linearizable read. Answered `kAccepted` once this replica's
   // state includes every change that was answered before the call, so that
   // document() is then not stale; `kUnknown` if no quorum confirms this by the
@@ -212,6 +217,7 @@
   // Local reads, which may be stale; see ReplicaStatus::staleness.
   ConfigurationPtr configuration() const;
   const Document& document() const;
+  const WarmUpGrants& warm_up_grants() const;
   ReplicaStatus Status(TimePoint now) const;
   // The outcome decided for an operator's patch id, if still retained.
   std::optional<Outcome> FindOutcome(const std::string& operator_name,
--- a/src/control_plane.cc
+++ b/src/control_plane.cc
@@ -23,7 +23,11 @@
            [this] { return m_routes.version(); },
            [this](ConfigVersion held) { return m_routes.UpdateFrom(held); }}),
       m_follower(m_settings.feed, m_settings.replica.contacts, &m_directory,
-                 FollowerHooks()) {}
+                 FollowerHooks()) {
+  if (m_settings.warm_up) {
+    m_granter.emplace(*m_settings.warm_up, GranterHooks());
+  }
+}
 
 Result<void> ControlPlane::Start(TimePoint now) {
   LoadTargets(now);
@@ -114,6 +118,7 @@
   ReportChanges(m_replica->Status(now));
   const bool must_restart = m_role == ReplicaRole::kFaulty && !m_restart_at;
   if (must_restart) m_restart_at = now + m_settings.restart_interval;
+  ProposeGrants(now);
   m_directory.RemoveSilent(m_settings.target_retention, now);
   m_hooks.send(m_publisher.OnTick(now));
   m_hooks.send(m_follower.OnTick(now));
@@ -144,6 +149,7 @@
 void ControlPlane::Dispatch(ReplicaOutput output, TimePoint now) {
   m_hooks.send(std::move(output.messages));
   UpdateRoutes(now);
+  UpdateGrants(now);
   for (const Answer& answer : output.answers) {
     const auto found = m_pending.find(answer.request_id);
     if (found == m_pending.end()) continue;
@@ -225,6 +231,7 @@
   const bool is_ignored = effect == AnnouncementEffect::kStale ||
                           effect == AnnouncementEffect::kForeign;
   if (is_ignored) return effect;
+  TakeWarmUp(report, now);
   // The publisher sends the change on its next tick, batched with others.
   m_publisher.OnTargetAnnounced(report.number,
                                 effect == AnnouncementEffect::kChanged, now);
--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -24,6 +24,7 @@
 #include "sardinelead/route_history.h"
 #include "sardinelead/route_table.h"
 #include "sardinelead/target_directory.h"
+#include "warm_up_granter.h"
 
 namespace sardinelead {
 
@@ -40,6 +41,8 @@
   // the minimum interval between writes, which limits the load on a slow disk.
   Duration save_delay = std::chrono::milliseconds(300);
   Duration save_interval = std::chrono::seconds(2);
+  // Empty if new flows to targets that are warming up are not limited.
+  std::optional<WarmUpGranterSettings> warm_up;
 };
 
 class ControlPlane {
@@ -55,6 +58,11 @@
     std::function<void(const ReplicaStatus& status)> on_members;
     std::function<void(const RouteTable& routes)> on_routes;
     TargetDirectory::OnReplaced on_target_replaced;
+    // Called for each decided grant of a target that is warming up. May be
+    // empty.
+    std::function<void(const WarmUpGrant& grant,
+                       const TargetAnnouncement& target)>
+        on_warm_up_granted = {};
     std::function<void(const Error& error)> on_error;
   };
   using OnOutcome = std::function<void(const Outcome& outcome)>;
@@ -94,6 +102,10 @@
   Result<void> StartReplica(TimePoint now);
   void Dispatch(ReplicaOutput output, TimePoint now);
   void UpdateRoutes(TimePoint now);
+  WarmUpGranter::Hooks GranterHooks() const;
+  void UpdateGrants(TimePoint now);
+  void TakeWarmUp(const TargetAnnouncement& target, TimePoint now);
+  void ProposeGrants(TimePoint now);
   void ReportChanges(const ReplicaStatus& status);
   FeedFollower::Hooks FollowerHooks() const;
   void LoadTargets(TimePoint now);
@@ -109,6 +121,9 @@
   ConfigVersion m_read_version;  // Of the last document that was read.
   FeedPublisher m_publisher;
   FeedFollower m_follower;
+  std::optional<WarmUpGranter> m_granter;
+  std::uint64_t m_known_grants = 0;  // WarmUpGrants::added() when last read.
+  TimePoint m_next_warm_up_scan_at;
   std::uint64_t m_saved_revision = 0;
   std::vector<NodeId> m_saved_subscribers;
   std::optional<TimePoint> m_next_save_at;
--- a/src/cookie_balancer_warm_up.cc
+++ b/src/cookie_balancer_warm_up.cc
@@ -51,11 +51,15 @@
 }
 
 std::size_t CookieBalancer::CountWithheld(TimePoint now) const {
-  const auto is_withheld = [&](const auto& share) {
-    return !m_warm_up_limiter.HasRoom(share.first, share.second, now);
+  const auto is_withheld = [&](const auto& item) {
+    const auto& [number, entry] = item;
+    if (entry.announcement.state != AnnouncedState::kReady) return false;
+    const auto share = WarmUpShareFor(entry);
+    return share && !m_warm_up_limiter.HasRoom(number, *share, now);
   };
-  return static_cast<std::size_t>(std::count_if(
-      m_warm_up_shares.begin(), m_warm_up_shares.end(), is_withheld));
+  const auto& entries = m_directory->entries();
+  return static_cast<std::size_t>(
+      std::count_if(entries.begin(), entries.end(), is_withheld));
 }
 
 }  // namespace sardinelead
--- a/src/register_command.cc
+++ b/src/register_command.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cbor.h"
+#include "warm_up_encoding.h"
 
 namespace sardinelead {
 
@@ -53,6 +54,22 @@
           *document.content};
 }
 
+Command MakeWarmUpGrantCommand(const std::vector<WarmUpGrant>& grants) {
+  Bytes content = ToCbor(ToJson(grants));
+  const auto* text = reinterpret_cast<const char*>(content.data());
+  return {CommandKind::kWarmUpGrant, "",
+          std::to_string(HashText({text, content.size()})), std::move(content)};
+}
+
+std::optional<std::vector<WarmUpGrant>> GrantsOf(const Command& command) {
+  return WarmUpGrantListFromJson(FromCbor(command.content));
+}
+
+bool MayShareValue(CommandKind a, CommandKind b) {
+  return a == b ||
+         (a <= CommandKind::kAddAndJoin && b <= CommandKind::kAddAndJoin);
+}
+
 Bytes EncodeCommands(const std::vector<Command>& commands) {
   json list = json::array();
   for (const Command& command : commands) {
@@ -76,7 +93,8 @@
     command.id = reader.Text();
     command.content = reader.Blob();
     const bool is_known_kind =
-        kind <= static_cast<std::uint64_t>(CommandKind::kAddAndJoin);
+        kind <= static_cast<std::uint64_t>(CommandKind::kAddAndJoin) ||
+        kind == static_cast<std::uint64_t>(CommandKind::kWarmUpGrant);
     if (!reader.ok() || !reader.AtEnd() || !is_known_kind) return std::nullopt;
     commands.push_back(std::move(command));
   }
--- a/src/register_command.h
+++ b/src/register_command.h
@@ -18,7 +18,8 @@
   kReplicaChange = 1,
   kJoin = 2,      // For a member: sets the id of the store that it votes from.
   kDocument = 3,  // A complete versioned document; the highest version wins.
-  kAddAndJoin = 4,  // Like kJoin, for a replica that is not a member yet.
+  kAddAndJoin = 4,   // Like kJoin, for a replica that is not a member yet.
+  kWarmUpGrant = 6,  // Grants for targets that are warming up.
 };
 
 struct Command {
@@ -26,7 +27,7 @@
   std::string operator_name;
   std::string id;
   // For kDocument, the document itself. Otherwise the CBOR encoding of the
-  // patch, the replica change or the join.
+  // patch, the replica change, the join or the list of grants.
   Bytes content;
 };
 
@@ -45,6 +46,15 @@
                               NodeId replaced);
 Command MakeDocumentCommand(const Document& document);
 
+Command MakeWarmUpGrantCommand(const std::vector<WarmUpGrant>& grants);
+// Returns nullopt if the content of a kWarmUpGrant cannot be read.
+std::optional<std::vector<WarmUpGrant>> GrantsOf(const Command& command);
+
+// Whether one log value may hold commands of both kinds. Replicas of a version
+// that does not know a kind skip the whole value, so kinds that were added
+// after the first release have values of their own.
+bool MayShareValue(CommandKind a, CommandKind b);
+
 Bytes EncodeCommands(const std::vector<Command>& commands);
 std::optional<std::vector<Command>> DecodeCommands(ByteView bytes);
 
--- a/src/register_snapshot.cc
+++ b/src/register_snapshot.cc
@@ -4,6 +4,7 @@
 
 #include "cbor.h"
 #include "register_state.h"
+#include "warm_up_encoding.h"
 
 namespace sardinelead {
 namespace {
@@ -53,10 +54,15 @@
   }
   const json evicted =
       m_max_evicted_base ? json::array({*m_max_evicted_base}) : json::array();
-  return ToCbor(json::array(
+  json state = json::array(
       {kStateFormatVersion, m_cluster, m_index, ToJson(*m_configuration),
        std::move(members), std::move(outcomes), std::move(history), evicted,
-       m_document.version.value, Binary(*m_document.content)}));
+       m_document.version.value, Binary(*m_document.content)});
+  // Earlier versions read only states without further elements.
+  if (m_warm_up_grants.added() != 0) {
+    state.push_back(json::array({json::array(), ToJson(m_warm_up_grants)}));
+  }
+  return ToCbor(state);
 }
 
 std::optional<RegisterState> RegisterState::Decode(ByteView bytes) {
@@ -108,6 +114,15 @@
   if (!evicted.AtEnd()) state.m_max_evicted_base = evicted.Number();
   state.m_document.version = ConfigVersion{reader.Number()};
   state.m_document.content = std::make_shared<const Bytes>(reader.Blob());
+  if (!reader.AtEnd()) {
+    CborArrayReader further(reader.Array());
+    further.Next();  // Evacuations.
+    if (!further.AtEnd()) {
+      auto grants = WarmUpGrantsFromJson(further.Array());
+      is_valid = is_valid && further.ok() && further.AtEnd() && grants;
+      if (is_valid) state.m_warm_up_grants = std::move(*grants);
+    }
+  }
   if (!reader.ok() || !reader.AtEnd() || !is_valid) return std::nullopt;
   return state;
 }
--- a/src/register_state.cc
+++ b/src/register_state.cc
@@ -61,6 +61,10 @@
       outcomes.emplace_back(key, ExecuteDocument(command));
       continue;
     }
+    if (command.kind == CommandKind::kWarmUpGrant) {
+      outcomes.emplace_back(key, ExecuteWarmUpGrant(command));
+      continue;
+    }
     std::optional<Outcome> outcome = FindOutcome(command);
     if (!outcome && !EnsureOutcomeCapacity()) {
       outcome = Outcome{OutcomeKind::kUnknown, m_configuration->version,
@@ -87,6 +91,9 @@
     const bool is_superseded = !(m_document.version < DocumentVersion(command));
     return is_superseded ? std::make_optional(Accepted()) : std::nullopt;
   }
+  if (command.kind == CommandKind::kWarmUpGrant) {
+    return HasGrants(command) ? std::make_optional(Accepted()) : std::nullopt;
+  }
   const auto found = m_outcomes.find(OutcomeKey(command));
   if (found != m_outcomes.end()) {
     if (found->second.content_hash == ContentHash(command)) {
@@ -185,6 +192,8 @@
       return ExecuteDocument(command);
     case CommandKind::kAddAndJoin:
       return ExecuteAdmit(command);
+    case CommandKind::kWarmUpGrant:
+      return ExecuteWarmUpGrant(command);
   }
   return Refused(ErrorCode::kMalformed, "unknown kind of command");
 }
@@ -302,4 +311,22 @@
   return Accepted();
 }
 
+Outcome RegisterState::ExecuteWarmUpGrant(const Command& command) {
+  auto grants = GrantsOf(command);
+  if (!grants) return Refused(ErrorCode::kMalformed, "unreadable grants");
+  for (WarmUpGrant& grant : *grants) m_warm_up_grants.Add(std::move(grant));
+  return Accepted();
+}
+
+// Whether every target of the command has a grant for its start.
+bool RegisterState::HasGrants(const Command& command) const {
+  const auto grants = GrantsOf(command);
+  return grants &&
+         std::all_of(
+             grants->begin(), grants->end(), [this](const WarmUpGrant& grant) {
+               return m_warm_up_grants.Find(grant.target, grant.started_ms) !=
+                      nullptr;
+             });
+}
+
 }  // namespace sardinelead
--- a/src/register_state.h
+++ b/src/register_state.h
@@ -52,6 +52,9 @@
     return m_configuration;
   }
   const Document& document() const { return m_document; }  // NOLINT
+  const WarmUpGrants& warm_up_grants() const {             // NOLINT
+    return m_warm_up_grants;
+  }
   // Members and their store ids; 0 if the member has not joined yet.
   const std::map<NodeId, std::uint64_t>& members() const {  // NOLINT
     return m_members;
@@ -83,6 +86,8 @@
   Outcome ExecuteJoin(const Command& command);
   Outcome ExecuteAdmit(const Command& command);
   Outcome ExecuteDocument(const Command& command);
+  Outcome ExecuteWarmUpGrant(const Command& command);
+  bool HasGrants(const Command& command) const;
   Outcome Refused(ErrorCode code, std::string message) const;
   Outcome Accepted() const;
   // Evicts outcomes until there is room for one more. Returns false if no
@@ -97,6 +102,7 @@
   std::uint64_t m_index = 0;
   ConfigurationPtr m_configuration = std::make_shared<Configuration>();
   Document m_document;
+  WarmUpGrants m_warm_up_grants;
   std::map<NodeId, std::uint64_t> m_members;
   std::unordered_map<std::string, StoredOutcome> m_outcomes;
   std::deque<std::string> m_outcome_order;
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -77,6 +77,12 @@
   return m_core->TakeOutput();
 }
 
+ReplicaOutput Replica::Submit(const std::vector<WarmUpGrant>& grants,
+                              TimePoint deadline, TimePoint now) {
+  m_core->Submit(0, MakeWarmUpGrantCommand(grants), deadline, now);
+  return m_core->TakeOutput();
+}
+
 ReplicaOutput Replica::ConfirmRead(std::uint64_t request_id, TimePoint deadline,
                                    TimePoint now) {
   m_core->ConfirmRead(request_id, deadline, now);
@@ -116,6 +122,10 @@
 
 const Document& Replica::document() const { return m_core->state().document(); }
 
+const WarmUpGrants& Replica::warm_up_grants() const {
+  return m_core->state().warm_up_grants();
+}
+
 ReplicaStatus Replica::Status(TimePoint now) const {
   return m_core->Status(now);
 }
--- a/src/replica_proposer.cc
+++ b/src/replica_proposer.cc
@@ -141,7 +141,10 @@
   for (const PendingCommand& pending : m_pending_commands) {
     const bool is_superseded =
         pending.command.kind == CommandKind::kDocument && &pending != newest;
-    if (is_superseded) continue;
+    const bool is_separate =
+        !commands.empty() &&
+        !MayShareValue(commands.front().kind, pending.command.kind);
+    if (is_superseded || is_separate) continue;
     size += pending.command.content.size();
     const bool is_full = commands.size() >= kMaxBatchCommands ||
                          (size > kMaxBatchBytes && !commands.empty());
--- a/tests/control_plane_test.cc
+++ b/tests/control_plane_test.cc
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(TargetsAreStoredOnceAFullDiskHasRoom);
   CPPUNIT_TEST(CorruptTargetFileIsReported);
   CPPUNIT_TEST(SubmitWithoutQuorumFailsImmediately);
+  CPPUNIT_TEST(ColdTargetsAreGrantedOnceForAStart);
+  CPPUNIT_TEST(WithoutAQuorumNothingIsGranted);
   CPPUNIT_TEST(JoiningReplicaNamesReachableVoter);
   CPPUNIT_TEST(StatusShowsVersionsAndTargets);
   CPPUNIT_TEST(FloodOfOneEventDoesNotSuppressOthers);
@@ -126,17 +128,7 @@
   }
 
   void SubmitWithoutQuorumFailsImmediately() {
-    // Another replica joins and then stops responding.
-    TestCluster other(3, 2);
-    other.settings.allow_automatic_join = true;
-    other.settings.contacts = {NodeId{1}};
-    other.Start(NodeId{2});
-    for (int step = 0; step < 300; ++step) {
-      Run(milliseconds(10));
-      ExchangeMessages(&other);
-    }
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_plane->Status(m_now).members.size());
-    Run(2 * kSecond);
+    LoseQuorum();
     std::optional<Outcome> outcome;
     m_plane->Submit(
         MakeDocument(9), [&](const Outcome& o) { outcome = o; }, m_now);
@@ -144,6 +136,31 @@
     CPPUNIT_ASSERT(outcome->kind == OutcomeKind::kUnknown);
   }
 
+  // Further grants for one start would let more balancers send than the quota
+  // allows.
+  void ColdTargetsAreGrantedOnceForAStart() {
+    Start(false, NodeId{1}, true);
+    CPPUNIT_ASSERT(SubmitNow(1) == OutcomeKind::kAccepted);
+    RunWithColdTarget(4 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_grants.size());
+    const WarmUpShares shares = {{NodeId{7}, 9}};
+    CPPUNIT_ASSERT(m_grants[0].shares == shares);
+    CPPUNIT_ASSERT(m_plane->directory().Find(5)->warm_up_shares == shares);
+    const std::uint64_t log_index = m_plane->Status(m_now).log_index;
+    Start(false, NodeId{1}, true);
+    RunWithColdTarget(4 * kSecond);
+    CPPUNIT_ASSERT(m_plane->directory().Find(5)->warm_up_shares == shares);
+    CPPUNIT_ASSERT_EQUAL(log_index, m_plane->Status(m_now).log_index);
+  }
+
+  void WithoutAQuorumNothingIsGranted() {
+    Start(false, NodeId{1}, true);
+    CPPUNIT_ASSERT(SubmitNow(1) == OutcomeKind::kAccepted);
+    LoseQuorum();
+    RunWithColdTarget(4 * kSecond);
+    CPPUNIT_ASSERT(m_grants.empty());
+  }
+
   void JoiningReplicaNamesReachableVoter() {
     CPPUNIT_ASSERT(
         !m_plane->FindReachableVoter(m_now));  // This replica is a voter.
@@ -215,7 +232,39 @@
     return {ConfigVersion{version}, std::make_shared<const Bytes>(Bytes{1})};
   }
 
-  void Start(bool is_first, NodeId contact = NodeId{1}) {
+  void LoseQuorum() {
+    // Another replica joins and then stops responding.
+    TestCluster other(3, 2);
+    other.settings.allow_automatic_join = true;
+    other.settings.contacts = {NodeId{1}};
+    other.Start(NodeId{2});
+    for (int step = 0; step < 300; ++step) {
+      Run(milliseconds(10));
+      ExchangeMessages(&other);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_plane->Status(m_now).members.size());
+    Run(2 * kSecond);
+  }
+
+  // Balancer 7 polls and target 5 is warming up.
+  void RunWithColdTarget(Duration span) {
+    TargetAnnouncement target;
+    target.number = 5;
+    target.started_ms = 7;
+    target.pool = "orders";
+    target.address = *Endpoint::Parse("10.0.0.5:80");
+    for (const TimePoint end = m_now + span; m_now < end;) {
+      target.warm_up_left = 60 * kSecond - m_now.time_since_epoch();
+      ++target.sequence;
+      m_plane->Take(target, m_now);
+      m_plane->OnMessage(NodeId{7}, MessageKind::kFeed, FeedPoll{}.Encode(),
+                         m_now);
+      Run(milliseconds(500));
+    }
+  }
+
+  void Start(bool is_first, NodeId contact = NodeId{1},
+             bool limits_warm_up = false) {
     ControlPlaneSettings settings;
     settings.replica.self = NodeId{1};
     settings.replica.contacts = {contact};
@@ -224,12 +273,14 @@
     settings.feed.self = NodeId{1};
     settings.feed.counts_covered_time = false;
     settings.epoch = m_random();
+    if (limits_warm_up) settings.warm_up.emplace().limit = {1.5, 2};
     ControlPlane::Hooks hooks;
     hooks.random = [this] { return m_random(); };
     hooks.open_files = [this] { return m_disk.Hooks(); };
     hooks.read_routes = [](const Document& document) -> Result<RouteTable> {
       RouteTable table;
       table.version = document.version;
+      table.pools = {{"orders", "/health", 0, 10 * kSecond, 5}};
       return table;
     };
     hooks.send = [this](const Outbox& messages) {
@@ -239,6 +290,10 @@
     hooks.on_members = [](const ReplicaStatus&) {};
     hooks.on_target_replaced = [](const TargetAnnouncement&,
                                   const TargetAnnouncement&) {};
+    hooks.on_warm_up_granted = [this](const WarmUpGrant& grant,
+                                      const TargetAnnouncement&) {
+      m_grants.push_back(grant);
+    };
     hooks.on_routes = [this](const RouteTable& routes) {
       m_routes_version = routes.version.value;
     };
@@ -286,6 +341,7 @@
   Outbox m_sent;
   std::uint64_t m_routes_version = 0;
   int m_errors = 0;
+  std::vector<WarmUpGrant> m_grants;  // As reported.
   std::unique_ptr<ControlPlane> m_plane;
 };
 
