--- a/include/sardinelead/replica.h
+++ b/include/sardinelead/replica.h
@@ -33,6 +33,7 @@
 
 #include "sardinelead/config.h"
 #include "sardinelead/error.h"
+#include "sardinelead/evacuation.h"
 #include "sardinelead/journal.h"
 #include "sardinelead/message.h"
 #include "sardinelead/types.h"
@@ -76,7 +77,8 @@
   std::size_t max_inline_value_bytes = 16 << 10;
   // Patches and documents with a larger encoding are refused with kLimit.
   std::size_t max_command_bytes = 5 << 20;
-  // Number of members that must have joined before documents are accepted.
+  // Number of members that must have joined before documents and evacuation
+  // orders are accepted.
   std::size_t min_members = 1;
 };
 
@@ -191,6 +193,10 @@
   // ones are in warm_up_grants(). Dropped at the deadline.
   ReplicaOutput Submit(const std::vector<WarmUpGrant>& grants,
                        TimePoint deadline, TimePoint now);
+  // Refused with kVersionConflict if the order was overtaken by a later one;
+  // see EvacuationOrder. Every accepted order has its own log index.
+  ReplicaOutput Submit(std::uint64_t request_id, const EvacuationOrder& order,
+                       TimePoint deadline, TimePoint now);
   // Requests a linearizable read. Answered `kAccepted` once this replica's
   // state includes every change that was answered before the call, so that
   // document() is then not stale; `kUnknown` if no quorum confirms this by the
@@ -218,6 +224,7 @@
   ConfigurationPtr configuration() const;
   const Document& document() const;
   const WarmUpGrants& warm_up_grants() const;
+  const EvacuationTable& evacuations() const;
   ReplicaStatus Status(TimePoint now) const;
   // The outcome decided for an operator's patch id, if still retained.
   std::optional<Outcome> FindOutcome(const std::string& operator_name,
--- a/src/register_snapshot.cc
+++ b/src/register_snapshot.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "cbor.h"
+#include "evacuation_encoding.h"
 #include "register_state.h"
 #include "warm_up_encoding.h"
 
@@ -58,9 +59,12 @@
       {kStateFormatVersion, m_cluster, m_index, ToJson(*m_configuration),
        std::move(members), std::move(outcomes), std::move(history), evicted,
        m_document.version.value, Binary(*m_document.content)});
-  // Earlier versions read only states without further elements.
-  if (m_warm_up_grants.added() != 0) {
-    state.push_back(json::array({json::array(), ToJson(m_warm_up_grants)}));
+  // Older versions cannot read this element, so it is left out if it is empty.
+  const bool has_grants = m_warm_up_grants.added() != 0;
+  if (has_grants || !m_evacuations.entries().empty()) {
+    json later = json::array({ToJson(m_evacuations)});
+    if (has_grants) later.push_back(ToJson(m_warm_up_grants));
+    state.push_back(std::move(later));
   }
   return ToCbor(state);
 }
@@ -115,13 +119,13 @@
   state.m_document.version = ConfigVersion{reader.Number()};
   state.m_document.content = std::make_shared<const Bytes>(reader.Blob());
   if (!reader.AtEnd()) {
-    CborArrayReader further(reader.Array());
-    further.Next();  // Evacuations.
-    if (!further.AtEnd()) {
-      auto grants = WarmUpGrantsFromJson(further.Array());
-      is_valid = is_valid && further.ok() && further.AtEnd() && grants;
-      if (is_valid) state.m_warm_up_grants = std::move(*grants);
-    }
+    CborArrayReader later(reader.Array());
+    auto evacuations = EvacuationsFromJson(later.Array());
+    std::optional<WarmUpGrants> grants = WarmUpGrants{};
+    if (!later.AtEnd()) grants = WarmUpGrantsFromJson(later.Array());
+    is_valid = is_valid && evacuations && grants && later.ok() && later.AtEnd();
+    if (evacuations) state.m_evacuations = std::move(*evacuations);
+    if (grants) state.m_warm_up_grants = std::move(*grants);
   }
   if (!reader.ok() || !reader.AtEnd() || !is_valid) return std::nullopt;
   return state;
--- a/src/register_state.h
+++ b/src/register_state.h
@@ -59,6 +59,9 @@
   const std::map<NodeId, std::uint64_t>& members() const {  // NOLINT
     return m_members;
   }
+  const EvacuationTable& evacuations() const {  // NOLINT
+    return m_evacuations;
+  }
   const std::deque<PatchRecord>& history() const {
     return m_history;
   }  // NOLINT
@@ -88,6 +91,7 @@
   Outcome ExecuteDocument(const Command& command);
   Outcome ExecuteWarmUpGrant(const Command& command);
   bool HasGrants(const Command& command) const;
+  Outcome ExecuteEvacuation(const Command& command);
   Outcome Refused(ErrorCode code, std::string message) const;
   Outcome Accepted() const;
   // Evicts outcomes until there is room for one more. Returns false if no
@@ -103,6 +107,7 @@
   ConfigurationPtr m_configuration = std::make_shared<Configuration>();
   Document m_document;
   WarmUpGrants m_warm_up_grants;
+  EvacuationTable m_evacuations;
   std::map<NodeId, std::uint64_t> m_members;
   std::unordered_map<std::string, StoredOutcome> m_outcomes;
   std::deque<std::string> m_outcome_order;
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -83,6 +83,14 @@
   return m_core->TakeOutput();
 }
 
+ReplicaOutput Replica::Submit(std::uint64_t request_id,
+                              const EvacuationOrder& order, TimePoint deadline,
+                              TimePoint now) {
+  m_core->Submit(request_id, MakeEvacuationCommand(order, m_core->DrawId()),
+                 deadline, now);
+  return m_core->TakeOutput();
+}
+
 ReplicaOutput Replica::ConfirmRead(std::uint64_t request_id, TimePoint deadline,
                                    TimePoint now) {
   m_core->ConfirmRead(request_id, deadline, now);
@@ -126,6 +134,10 @@
   return m_core->state().warm_up_grants();
 }
 
+const EvacuationTable& Replica::evacuations() const {
+  return m_core->state().evacuations();
+}
+
 ReplicaStatus Replica::Status(TimePoint now) const {
   return m_core->Status(now);
 }
