Merge evacuations in the feed and at balancers

A flow is refused with kEvacuated if all known targets are evacuated, and with kWarmUpLimit if the others are withheld for their warm-up. Targets of a finished evacuation count as warming up until they are heard, and so need a share. Both sides announced targets that become cold without a restart; one check remains, which also covers a warm-up that ends later than before.

--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -36,6 +36,8 @@
       return "route-removed";
     case ForwardReason::kNoTarget:
       return "no-target";
+    case ForwardReason::kEvacuated:
+      return "evacuated";
     case ForwardReason::kUnplacedCopy:
       return "unplaced-copy";
     case ForwardReason::kUnknownCookie:
@@ -72,6 +74,7 @@
       m_directory(directory),
       m_hooks(std::move(hooks)),
       m_placement(m_settings.placement),
+      m_evacuations(m_settings.evacuation_shift),
       m_warm_up_limiter(m_settings.warm_up_window) {}
 
 void CookieBalancer::SetRoutes(RouteTable routes) {
@@ -102,6 +105,11 @@
   m_removed_routes.insert(address);
 }
 
+void CookieBalancer::SetEvacuations(const EvacuationReport& evacuations,
+                                    TimePoint now) {
+  m_evacuations.Set(evacuations, now, m_hooks.covered_time());
+}
+
 Forwarding CookieBalancer::OnPacket(const FlowPacket& packet, TimePoint now) {
   if (m_routes.version.value == 0) {
     Forwarding out;
@@ -166,26 +174,31 @@
       m_placement.Choose(targets, m_hooks.balancers(), m_hooks.random(), now);
   const TargetDirectory::Entry* entry =
       chosen ? m_directory->Find(*chosen) : nullptr;
-  const bool is_limited = entry == nullptr ? targets.size() < known.size()
-                                           : !TakeWarmUpShare(*entry, now);
-  if (is_limited) {
-    ++m_warm_up_counts.refused;
+  if (entry != nullptr && !TakeWarmUpShare(*entry, now)) {
     return MakeReset(packet, ForwardReason::kWarmUpLimit);
   }
+  if (!chosen && !known.empty()) {
+    return MakeReset(packet, ReasonForNoTarget(known));
+  }
   if (entry == nullptr) {
     Forwarding out = MakeReset(packet, ForwardReason::kNoTarget);
     if (m_hooks.is_gathering()) out.action = ForwardAction::kHold;
     return out;
   }
+  RecordOpening(packet, *chosen, now);
+  return ForwardTo(*entry, packet.flow, ForwardReason::kPlaced);
+}
+
+void CookieBalancer::RecordOpening(const FlowPacket& packet,
+                                   std::uint64_t target, TimePoint now) {
   if (m_flows.size() >= m_settings.max_flows) ExpireFlows(now);
   Flow& flow = m_flows[packet.flow];
-  flow.target = *chosen;
+  flow.target = target;
   flow.opening_sequence = packet.sequence;
   flow.opened_at = now;
   flow.seen_at = now;
   flow.data_end = packet.sequence;
-  m_placement.OnOpening(*chosen, now);
-  return ForwardTo(*entry, packet.flow, ForwardReason::kPlaced);
+  m_placement.OnOpening(target, now);
 }
 
 // Forwards an opening packet of a flow that was placed here before.
@@ -197,7 +210,6 @@
     return Drop(packet, ForwardReason::kUnplacedCopy);
   }
   if (!TakeWarmUpShare(*entry, now)) {
-    ++m_warm_up_counts.refused;
     return Drop(packet, ForwardReason::kWarmUpLimit);
   }
   return ForwardTo(*entry, packet.flow, ForwardReason::kPlacedCopy);
@@ -348,7 +360,8 @@
   return m_hooks.covered_time() - entry.heard_at <= m_settings.lease;
 }
 
-// Lists the targets with a valid lease. A pool without any such target uses its
+// Lists the targets with a valid lease, including those of evacuated data
+// centres, which FlowPlacement avoids. A pool without any such target uses its
 // expired ones: if all leases expire at once, the likely cause is the path of
 // the heartbeats, not the targets.
 void CookieBalancer::RebuildTargetLists(TimePoint now) {
@@ -360,8 +373,10 @@
     PlacementTarget target;
     target.number = number;
     target.slots = entry.announcement.slots;
-    target.is_local = entry.announcement.data_centre == m_settings.data_centre;
+    const std::string& data_centre = entry.announcement.data_centre;
+    target.is_local = data_centre == m_settings.data_centre;
     target.is_warming_up = IsWarmingUp(entry);
+    target.avoided_share = m_evacuations.AvoidedShare(data_centre, now);
     const auto share = WarmUpShareFor(entry);
     if (share) m_warm_up_shares.emplace(number, *share);
     target.heard_at = now - (m_hooks.covered_time() - entry.heard_at);
@@ -373,11 +388,14 @@
 
 const std::vector<PlacementTarget>& CookieBalancer::TargetsInPool(
     const std::string& pool, TimePoint now) {
+  const std::uint64_t evacuations = m_evacuations.table().version();
   const bool is_current = m_targets_revision == m_directory->revision() &&
+                          m_targets_evacuations == evacuations &&
                           now - m_targets_built_at < kTargetListMaxAge;
   if (!is_current) {
     RebuildTargetLists(now);
     m_targets_revision = m_directory->revision();
+    m_targets_evacuations = evacuations;
     m_targets_built_at = now;
   }
   return m_targets[pool];
--- a/src/cookie_balancer_warm_up.cc
+++ b/src/cookie_balancer_warm_up.cc
@@ -7,7 +7,8 @@
 namespace sardinelead {
 
 bool CookieBalancer::IsWarmingUp(const TargetDirectory::Entry& entry) const {
-  return m_hooks.covered_time() < entry.warm_at;
+  return m_hooks.covered_time() < entry.warm_at ||
+         m_evacuations.IsCold(entry.announcement.data_centre, entry.heard_at);
 }
 
 // Returns this balancer's share of the target's quota, or nothing if no quota
@@ -46,10 +47,22 @@
   if (!share) return true;
   const bool is_taken =
       m_warm_up_limiter.TryTake(entry.announcement.number, *share, now);
-  if (is_taken) ++m_warm_up_counts.used;
+  ++(is_taken ? m_warm_up_counts.used : m_warm_up_counts.refused);
   return is_taken;
 }
 
+// The reason to refuse a new flow although targets are known. Targets outside
+// evacuated data centres are then all withheld.
+ForwardReason CookieBalancer::ReasonForNoTarget(
+    const std::vector<PlacementTarget>& known) {
+  const bool is_evacuated = std::all_of(
+      known.begin(), known.end(),
+      [](const PlacementTarget& t) { return t.avoided_share.has_value(); });
+  if (is_evacuated) return ForwardReason::kEvacuated;
+  ++m_warm_up_counts.refused;
+  return ForwardReason::kWarmUpLimit;
+}
+
 std::size_t CookieBalancer::CountWithheld(TimePoint now) const {
   const auto is_withheld = [&](const auto& item) {
     const auto& [number, entry] = item;
--- a/src/target_directory.cc
+++ b/src/target_directory.cc
@@ -22,10 +22,13 @@
          a.data_centre == b.data_centre && a.slots == b.slots;
 }
 
-// Whether a target that was warm reports a warm-up, or one that ends later.
-bool HasTurnedCold(const TargetDirectory::Entry& entry,
+// Whether the target became cold again without a restart, or its warm-up ends
+// later than before. Balancers get announcements only when they change, so they
+// would not learn of it.
+bool HasBecomeCold(const TargetDirectory::Entry& entry,
                    const TargetAnnouncement& received, TimePoint heard_at) {
-  if (received.warm_up_left <= Duration{0}) return false;
+  const bool is_cold = received.warm_up_left > Duration{0};
+  if (!is_cold || !IsOlder(entry.announcement, received)) return false;
   const TimePoint warm_at = heard_at + received.warm_up_left;
   return entry.warm_at <= heard_at ||
          warm_at - entry.warm_at > kWarmUpTolerance;
@@ -108,10 +111,10 @@
   const bool is_ended = entry->announcement.state == AnnouncedState::kEnded &&
                         entry->announcement.started_ms == received.started_ms;
   if (is_ended) return AnnouncementEffect::kStale;
-  const bool is_change =
+  const bool is_changed =
       !IsEquivalentForBalancers(entry->announcement, received) ||
-      HasTurnedCold(*entry, received, heard_at);
-  if (is_change) {
+      HasBecomeCold(*entry, received, heard_at);
+  if (is_changed) {
     return Replace(entry, received, heard_at);
   }
   entry->announcement = received;
--- a/tests/cookie_balancer_warm_up_test.cc
+++ b/tests/cookie_balancer_warm_up_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(OnlyColdTargetsRefuseAtOnce);
   CPPUNIT_TEST(ExpiredLeaseDoesNotOpenAColdTarget);
   CPPUNIT_TEST(WarmTargetIsNotLimited);
+  CPPUNIT_TEST(TargetsOfAFinishedEvacuationNeedAShare);
   CPPUNIT_TEST(WithoutTheSettingOrTheQuotaNothingChanges);
   CPPUNIT_TEST_SUITE_END();
 
@@ -89,6 +90,22 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_balancer.warm_up_counts().used);
   }
 
+  // They may have become cold and not have said so yet.
+  void TargetsOfAFinishedEvacuationNeedAShare() {
+    Announce(1, "10.0.0.1:80", Duration{0}, 300);
+    EvacuationReport orders;
+    orders.table.Set("a", true, 5);
+    m_balancer.SetEvacuations(orders, m_now);
+    CPPUNIT_ASSERT(Open(1).reason == ForwardReason::kEvacuated);
+    m_now += milliseconds(1);
+    orders.table.Set("a", false, 6);
+    m_balancer.SetEvacuations(orders, m_now);
+    CPPUNIT_ASSERT(Open(2).reason == ForwardReason::kWarmUpLimit);
+    m_directory.Renew(CookieOf(1), m_now);
+    ReadFor(kSecond);
+    CPPUNIT_ASSERT(Open(3).reason == ForwardReason::kPlaced);
+  }
+
   void WithoutTheSettingOrTheQuotaNothingChanges() {
     OnlyTarget1();
     Start(false, 10 * kSecond);
--- a/tests/target_directory_test.cc
+++ b/tests/target_directory_test.cc
@@ -159,6 +159,14 @@
     CPPUNIT_ASSERT(m_directory.Find(1)->heard_at == m_now + 2 * kSecond);
     m_directory.Renew(CookieOf(1), m_now);
     CPPUNIT_ASSERT(m_directory.Find(1)->heard_at == m_now + 2 * kSecond);
+    // Guards against balancers that take it for warm, as it did not restart.
+    TargetAnnouncement cold = MakeNews(1, 100, 3, "10.0.0.1:80");
+    cold.warm_up_left = 2 * kSecond;
+    CPPUNIT_ASSERT(m_directory.Take(cold, m_now + 2 * kSecond) ==
+                   AnnouncementEffect::kChanged);
+    cold.sequence = 4;
+    CPPUNIT_ASSERT(m_directory.Take(cold, m_now + 3 * kSecond) ==
+                   AnnouncementEffect::kRenewed);
   }
 
   void SilentTargetsAreForgotten() {
