--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -41,9 +41,15 @@
 // report that. The ages of requests and opening packets count from the time at
 // which the packet was handed to the socket.
 //
+// A target that is warming up, in a pool with a quota, gets opening packets
+// only within this balancer's share of the quota (warm_up_grant.h), and none if
+// the balancer has no share. Copies count. If no other target of the pool is
+// left for a new flow, the flow is reset at once.
+//
 //   Forwarding f = balancer.OnPacket(packet, now);
 //   if (is_queued) balancer.OnQueued(f.flow);  // Else it is sent at once.
 //   balancer.OnDrained(read_at, sent_at);  // After the last pending packet.
+//   balancer.OnOpeningsSent(sent_at);
 //
 // docs/design/platform.md compares this design with flow records. Performs no
 // I/O itself. Not thread-safe. A packet costs a few hash lookups; an opening
@@ -67,6 +73,7 @@
 #include "sardinelead/route_table.h"
 #include "sardinelead/target_directory.h"
 #include "sardinelead/types.h"
+#include "sardinelead/warm_up_limiter.h"
 
 namespace sardinelead {
 
@@ -113,6 +120,8 @@
   kTargetEnded,    // Another process has the address of the flow's target.
   kNotReady,       // No route table received yet.
   kLinkFull,       // This VM's link cannot carry the new flow in time.
+  kWarmUpLimit,    // Only targets that are warming up are left, and their share
+                   // of new flows is used up or there is none.
   kCount,
 };
 const char* Name(ForwardReason reason);
@@ -179,6 +188,18 @@
   // Flow records without packets are removed after this long.
   Duration flow_idle_timeout = std::chrono::seconds(20);
   std::size_t max_flows = 200'000;
+  NodeId self;  // Whose shares of warm-up quotas apply here.
+  // Whether new flows to targets that are warming up are limited.
+  bool limits_warm_up = false;
+  // The time in which a share of flows a second may be sent. More than a
+  // second, since packets to a target may be delayed by different times.
+  Duration warm_up_window = std::chrono::milliseconds(1100);
+};
+
+// Opening packets, copies included, to targets whose warm-up is limited.
+struct WarmUpCounts {
+  std::uint64_t used = 0;     // Forwarded within a share.
+  std::uint64_t refused = 0;  // Reset or dropped with kWarmUpLimit.
 };
 
 class CookieBalancer {
@@ -235,6 +256,13 @@
   void OnTransmitted(const FlowKey& key, TimePoint now);
   void OnQueueDropped(const FlowKey& key);
   bool HasQueued(const FlowKey& key) const { return m_queued.Contains(key); }
+  // Every opening packet that was to be forwarded had been passed to the kernel
+  // by `sent_at`; none waits in a queue of this process. Until then it holds
+  // its place in the share of a warm-up. Must be called as often as
+  // OnDrained().
+  void OnOpeningsSent(TimePoint sent_at) {
+    m_warm_up_limiter.OnAllSent(sent_at);
+  }
   // This process or its kernel dropped packets. Those forwarded so far say
   // nothing about targets.
   void OnPacketsDropped() { m_progress.OnPacketsDropped(); }
@@ -246,7 +274,12 @@
   std::size_t flow_count() const { return m_flows.size(); }       // NOLINT
   const FlowPlacement& placement() const { return m_placement; }  // NOLINT
   const RouteTable& routes() const { return m_routes; }           // NOLINT
-  const EvacuationTable& evacuations() const {                    // NOLINT
+  const WarmUpCounts& warm_up_counts() const {                    // NOLINT
+    return m_warm_up_counts;
+  }
+  // Number of targets that may not take a new flow now for their warm-up.
+  std::size_t CountWithheld(TimePoint now) const;
+  const EvacuationTable& evacuations() const {  // NOLINT
     return m_evacuations.table();
   }
 
@@ -281,6 +314,8 @@
 
   Forwarding ForwardWithoutRoute(const FlowPacket& packet) const;
   Forwarding ForwardOpening(const FlowPacket& packet, TimePoint now);
+  void RecordOpening(const FlowPacket& packet, std::uint64_t target,
+                     TimePoint now);
   Forwarding ForwardCopy(const FlowPacket& packet, Flow* flow, TimePoint now);
   Forwarding ForwardEstablished(const FlowPacket& packet, TimePoint now);
   bool HasEnded(const TargetDirectory::Entry& entry) const;
@@ -292,6 +327,13 @@
                                                     TimePoint now);
   bool HasValidLease(const TargetDirectory::Entry& entry) const;
   void RebuildTargetLists(TimePoint now);
+  bool IsWarmingUp(const TargetDirectory::Entry& entry) const;
+  std::optional<std::uint32_t> WarmUpShareFor(
+      const TargetDirectory::Entry& entry) const;
+  const std::vector<PlacementTarget>& WithoutWithheld(
+      const std::vector<PlacementTarget>& targets, TimePoint now);
+  bool TakeWarmUpShare(const TargetDirectory::Entry& entry, TimePoint now);
+  ForwardReason ReasonForNoTarget(const std::vector<PlacementTarget>& known);
   void AddRemovedRoute(const Endpoint& address);
   ForwardReason UpdateFlow(const FlowPacket& packet, std::uint64_t target,
                            TimePoint now);
@@ -332,6 +374,12 @@
   std::uint64_t m_targets_revision = 0;
   std::uint64_t m_targets_evacuations = 0;  // Their version.
   TimePoint m_targets_built_at;
+  // The shares of the targets in m_targets whose warm-up is limited; 0 if this
+  // balancer has none.
+  std::unordered_map<std::uint64_t, std::uint32_t> m_warm_up_shares;
+  WarmUpLimiter m_warm_up_limiter;
+  WarmUpCounts m_warm_up_counts;
+  std::vector<PlacementTarget> m_eligible;  // Result of WithoutWithheld().
 };
 
 }  // namespace sardinelead
--- a/include/sardinelead/replica.h
+++ b/include/sardinelead/replica.h
@@ -37,6 +37,7 @@
 #include "sardinelead/journal.h"
 #include "sardinelead/message.h"
 #include "sardinelead/types.h"
+#include "sardinelead/warm_up_grant.h"
 
 namespace sardinelead {
 
@@ -188,6 +189,10 @@
   // The outcome of an accepted document carries the document's own version.
   ReplicaOutput Submit(std::uint64_t request_id, const Document& document,
                        TimePoint deadline, TimePoint now);
+  // Proposes grants for targets that are warming up. Unanswered; the decided
+  // ones are in warm_up_grants(). Dropped at the deadline.
+  ReplicaOutput Submit(const std::vector<WarmUpGrant>& grants,
+                       TimePoint deadline, TimePoint now);
   // Refused with kVersionConflict if the order was overtaken by a later one;
   // see EvacuationOrder. Every accepted order has its own log index.
   ReplicaOutput Submit(std::uint64_t request_id, const EvacuationOrder& order,
@@ -218,6 +223,7 @@
   // Local reads, which may be stale; see ReplicaStatus::staleness.
   ConfigurationPtr configuration() const;
   const Document& document() const;
+  const WarmUpGrants& warm_up_grants() const;
   const EvacuationTable& evacuations() const;
   ReplicaStatus Status(TimePoint now) const;
   // The outcome decided for an operator's patch id, if still retained.
--- a/src/register_command.cc
+++ b/src/register_command.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cbor.h"
+#include "warm_up_encoding.h"
 
 namespace sardinelead {
 namespace {
@@ -59,6 +60,17 @@
           *document.content};
 }
 
+Command MakeWarmUpGrantCommand(const std::vector<WarmUpGrant>& grants) {
+  Bytes content = ToCbor(ToJson(grants));
+  const auto* text = reinterpret_cast<const char*>(content.data());
+  return {CommandKind::kWarmUpGrant, "",
+          std::to_string(HashText({text, content.size()})), std::move(content)};
+}
+
+std::optional<std::vector<WarmUpGrant>> GrantsOf(const Command& command) {
+  return WarmUpGrantListFromJson(FromCbor(command.content));
+}
+
 Command MakeEvacuationCommand(const EvacuationOrder& order,
                               const std::string& id) {
   const json content =
@@ -105,7 +117,7 @@
     command.id = reader.Text();
     command.content = reader.Blob();
     const bool is_known_kind =
-        kind <= static_cast<std::uint64_t>(CommandKind::kEvacuation);
+        kind <= static_cast<std::uint64_t>(CommandKind::kWarmUpGrant);
     if (!reader.ok() || !reader.AtEnd() || !is_known_kind) return std::nullopt;
     commands.push_back(std::move(command));
   }
--- a/src/register_state.cc
+++ b/src/register_state.cc
@@ -42,7 +42,8 @@
 // Whether the outcomes of such commands are kept for retries. Repeated
 // documents and evacuation orders have no effect anyway.
 bool KeepsOutcome(CommandKind kind) {
-  return kind != CommandKind::kDocument && kind != CommandKind::kEvacuation;
+  return kind != CommandKind::kDocument && kind != CommandKind::kEvacuation &&
+         kind != CommandKind::kWarmUpGrant;
 }
 
 }  // namespace
@@ -93,6 +94,9 @@
     const bool is_superseded = !(m_document.version < DocumentVersion(command));
     return is_superseded ? std::make_optional(Accepted()) : std::nullopt;
   }
+  if (command.kind == CommandKind::kWarmUpGrant) {
+    return HasGrants(command) ? std::make_optional(Accepted()) : std::nullopt;
+  }
   const auto found = m_outcomes.find(OutcomeKey(command));
   if (found != m_outcomes.end()) {
     if (found->second.content_hash == ContentHash(command)) {
@@ -191,6 +195,8 @@
       return ExecuteDocument(command);
     case CommandKind::kAddAndJoin:
       return ExecuteAdmit(command);
+    case CommandKind::kWarmUpGrant:
+      return ExecuteWarmUpGrant(command);
     case CommandKind::kEvacuation:
       return ExecuteEvacuation(command);
   }
@@ -310,6 +316,24 @@
   return Accepted();
 }
 
+Outcome RegisterState::ExecuteWarmUpGrant(const Command& command) {
+  auto grants = GrantsOf(command);
+  if (!grants) return Refused(ErrorCode::kMalformed, "unreadable grants");
+  for (WarmUpGrant& grant : *grants) m_warm_up_grants.Add(std::move(grant));
+  return Accepted();
+}
+
+// Whether every target of the command has a grant for its start.
+bool RegisterState::HasGrants(const Command& command) const {
+  const auto grants = GrantsOf(command);
+  return grants &&
+         std::all_of(
+             grants->begin(), grants->end(), [this](const WarmUpGrant& grant) {
+               return m_warm_up_grants.Find(grant.target, grant.started_ms) !=
+                      nullptr;
+             });
+}
+
 // An order that finds the state as wanted still renews the index, so that older
 // orders for the opposite, which may be held by other replicas, are refused.
 Outcome RegisterState::ExecuteEvacuation(const Command& command) {
