--- a/tests/replica_state_test.cc
+++ b/tests/replica_state_test.cc
@@ -113,8 +113,9 @@
   // A replica of an earlier version would skip a document in such a value.
   void GrantsHaveValuesOfTheirOwn() {
     TestCluster cluster(5, 3);
-    for (std::uint32_t id = 1; id <= 3; ++id)
+    for (std::uint32_t id = 1; id <= 3; ++id) {
       cluster.Start(NodeId{id}, id == 1);
+    }
     CPPUNIT_ASSERT(cluster.RunUntilVoting());
     cluster.is_lost = [](NodeId, const OutgoingMessage& message) {
       const auto agreement = AgreementMessage::Decode(message.body);
