Packet scheduler: a copy replaces a waiting packet that has expired

Cause: Add() dropped a copy as a duplicate although the packet that waited had exceeded its limit of time and was dropped by the next Release(), so both were lost. Change: before a packet counts as a copy, the expired packets of its flow are dropped.

--- a/src/packet_scheduler.cc
+++ b/src/packet_scheduler.cc
@@ -30,7 +30,7 @@
   m_now = now;
   const std::size_t size = head.size + body.size;
   const PacketRank rank = RankOf(packet);
-  if (!m_ranks.empty() && m_waiting.count(PacketIdentity(packet)) != 0) {
+  if (IsCopyOfWaiting(packet, now)) {
     ReportDropped(packet, ScheduleDropReason::kDuplicate);
     return ScheduleResult::kDuplicate;
   }
@@ -60,6 +60,18 @@
   return ScheduleResult::kQueued;
 }
 
+bool PacketScheduler::IsCopyOfWaiting(const ScheduledPacket& packet,
+                                      TimePoint now) {
+  const PacketIdentity identity(packet);
+  if (m_ranks.empty() || m_waiting.count(identity) == 0) return false;
+  // A packet that will be dropped must not take its copy with it.
+  DropFirstOf(packet.flow, ScheduleDropReason::kExpired,
+              [this, now](const WaitingPacket& waiting) {
+                return IsExpired(waiting, now);
+              });
+  return m_waiting.count(identity) != 0;
+}
+
 bool PacketScheduler::CanPass(PacketRank rank, std::size_t size,
                               TimePoint now) {
   if (!m_ranks.empty()) {
@@ -154,9 +166,19 @@
 }
 
 void PacketScheduler::RemoveFlow(const FlowKey& flow) {
+  DropFirstOf(flow, ScheduleDropReason::kFlowEnded,
+              [](const WaitingPacket&) { return true; });
+}
+
+template <typename Predicate>
+void PacketScheduler::DropFirstOf(const FlowKey& flow,
+                                  ScheduleDropReason reason,
+                                  Predicate is_dropped) {
   for (auto rank = m_ranks.begin(); rank != m_ranks.end();) {
-    while (WaitingPacket* packet = rank->second.FirstOf(flow)) {
-      Drop(&rank->second, packet, ScheduleDropReason::kFlowEnded);
+    WaitingPacket* packet = rank->second.FirstOf(flow);
+    while (packet != nullptr && is_dropped(*packet)) {
+      Drop(&rank->second, packet, reason);
+      packet = rank->second.FirstOf(flow);
     }
     rank = rank->second.empty() ? m_ranks.erase(rank) : std::next(rank);
   }
--- a/src/packet_scheduler.h
+++ b/src/packet_scheduler.h
@@ -111,6 +111,8 @@
     WaitingPacket* packet = nullptr;
   };
 
+  // Whether a copy of the packet waits. Drops one that has expired.
+  bool IsCopyOfWaiting(const ScheduledPacket& packet, TimePoint now);
   bool CanPass(PacketRank rank, std::size_t size, TimePoint now);
   bool MakeRoom(PacketRank rank, std::size_t size, TimePoint now);
   Ranks::iterator FindOverdueBelow(PacketRank rank, TimePoint now);
@@ -118,6 +120,11 @@
   void Send(const Chosen& chosen, TimePoint now);
   void Drop(RankQueue* rank, WaitingPacket* packet, ScheduleDropReason reason);
   void DropExpired(TimePoint now);
+  // Drops the packets of a flow up to the first one that `is_dropped` is false
+  // for, in each rank.
+  template <typename Predicate>
+  void DropFirstOf(const FlowKey& flow, ScheduleDropReason reason,
+                   Predicate is_dropped);
   bool IsExpired(const WaitingPacket& packet, TimePoint now) const;
   void Forget(const WaitingPacket& packet);
   void ReportDropped(const ScheduledPacket& packet, ScheduleDropReason reason);
--- a/tests/packet_scheduler_test.cc
+++ b/tests/packet_scheduler_test.cc
@@ -163,6 +163,7 @@
   CPPUNIT_TEST(OverdueDataUnderOpeningPackets);
   CPPUNIT_TEST(FullQueueDropsTheOldestOfTheLowestRank);
   CPPUNIT_TEST(ExpiredPacketsAreDropped);
+  CPPUNIT_TEST(CopyOfAnExpiredPacketReplacesIt);
   CPPUNIT_TEST(EndedFlowIsDropped);
   CPPUNIT_TEST(LateTimerLosesNoCapacity);
   CPPUNIT_TEST(ExpectedWaitOfABurst);
@@ -375,6 +376,22 @@
         world.sent.size() + world.Dropped(ScheduleDropReason::kExpired));
   }
 
+  // Guards against the loss of both: the copy as a duplicate, and then the
+  // waiting packet as expired. An older packet with a longer limit waits too.
+  void CopyOfAnExpiredPacketReplacesIt() {
+    NarrowLink world;
+    world.AddUpload(Flow(1, 1, 1));
+    ScheduledPacket request = Data(Flow(2, 2, 2), 0, kLow);
+    request.max_wait = milliseconds(100);
+    world.Add(request);
+    world.now += milliseconds(101);
+    world.link.OnSent(100'000, world.now);
+    CPPUNIT_ASSERT(world.Add(request) == ScheduleResult::kQueued);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         world.Dropped(ScheduleDropReason::kExpired));
+    CPPUNIT_ASSERT(world.Add(request) == ScheduleResult::kDuplicate);
+  }
+
   void EndedFlowIsDropped() {
     NarrowLink world;
     const auto flows = FlowsOfCallers(1, 3);
