Balancer: the link is not asked about flows that no target can take

Cause: the admission was asked before a target was chosen, and expects the request of each flow that it admits for 50 ms. Flows that were then held, or refused since no target or only evacuated ones were left, thus counted as load of the link, so that other flows could be refused although there was room. With a backlog they were also reset as `link-full` instead of held or reset as `evacuated`. Change: the admission is asked only if the pool has a target outside the evacuated data centres (FlowPlacement::HasCandidate).

--- a/include/sardinelead/flow_placement.h
+++ b/include/sardinelead/flow_placement.h
@@ -97,9 +97,10 @@
   explicit FlowPlacement(const PlacementSettings& settings)
       : m_settings(settings) {}
 
-  // Returns nothing if `targets` is empty or holds only targets of evacuated
-  // data centres. `balancers` is the number of balancers that share the data
-  // centre's flows.
+  // Whether any of the targets is outside the evacuated data centres.
+  static bool HasCandidate(const std::vector<PlacementTarget>& targets);
+  // Returns nothing if there is no candidate. `balancers` is the number of
+  // balancers that share the data centre's flows.
   std::optional<std::uint64_t> Choose(
       const std::vector<PlacementTarget>& targets, std::size_t balancers,
       std::uint64_t random, TimePoint now);
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -165,11 +165,14 @@
   if (packet.is_copy) return Drop(packet, ForwardReason::kUnplacedCopy);
   RemoveFlow(packet.flow);  // An earlier flow with the same addresses.
   const Route& route = *m_routes.Find(packet.flow.service);
-  if (m_hooks.admits && !m_hooks.admits(route, now)) {
-    return MakeReset(packet, ForwardReason::kLinkFull);
-  }
   const auto& targets =
       TargetsInPool(route.SelectPool(packet.flow.Hash()), now);
+  // The link expects the request of each flow that it admits, so it is not
+  // asked about flows that no target can take.
+  const bool is_refused_here = m_hooks.admits &&
+                               FlowPlacement::HasCandidate(targets) &&
+                               !m_hooks.admits(route, now);
+  if (is_refused_here) return MakeReset(packet, ForwardReason::kLinkFull);
   const auto chosen =
       m_placement.Choose(targets, m_hooks.balancers(), m_hooks.random(), now);
   const TargetDirectory::Entry* entry =
--- a/src/flow_placement.cc
+++ b/src/flow_placement.cc
@@ -29,12 +29,6 @@
   if (*count > 0) --*count;
 }
 
-bool AreAllEvacuated(const std::vector<PlacementTarget>& targets) {
-  return std::all_of(
-      targets.begin(), targets.end(),
-      [](const PlacementTarget& t) { return t.avoided_share.has_value(); });
-}
-
 bool IsAvoided(const PlacementTarget& target, std::uint64_t random) {
   return target.avoided_share && AvoidsEvacuated(*target.avoided_share, random);
 }
@@ -65,10 +59,16 @@
 
 }  // namespace
 
+bool FlowPlacement::HasCandidate(const std::vector<PlacementTarget>& targets) {
+  return std::any_of(
+      targets.begin(), targets.end(),
+      [](const PlacementTarget& t) { return !t.avoided_share.has_value(); });
+}
+
 std::optional<std::uint64_t> FlowPlacement::Choose(
     const std::vector<PlacementTarget>& targets, std::size_t balancers,
     std::uint64_t random, TimePoint now) {
-  if (AreAllEvacuated(targets)) return std::nullopt;
+  if (!HasCandidate(targets)) return std::nullopt;
   BestTarget local(random);
   BestTarget remote(random);
   BestTarget suspect(random);
--- a/tests/balancer_queue_test.cc
+++ b/tests/balancer_queue_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(RequestsThatNeverLeftAreNotUnanswered);
   CPPUNIT_TEST(DurationsCountFromTheHandOver);
   CPPUNIT_TEST(FullLinkRefusesOnlyFlowsThatAreNotPlaced);
+  CPPUNIT_TEST(LinkExpectsNoRequestOfFlowsWithoutATarget);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -154,6 +155,35 @@
         ForwardAction::kForward);
   }
 
+  // Guards against refusals of other flows because of requests that the link
+  // expects from flows that are held, or refused for want of a target.
+  void LinkExpectsNoRequestOfFlowsWithoutATarget() {
+    int admitted = 0;
+    TargetDirectory directory;
+    directory.SetPools(m_routes.PoolNames(), m_now);
+    CookieBalancer balancer(
+        {}, &directory,
+        {[this] { return m_random(); }, [this] { return m_now; },
+         [] { return std::size_t{1}; }, [] { return true; },
+         [](const TargetHealthReport&) {}, [](const FlowTiming&) {},
+         [&](const Route&, TimePoint) { return ++admitted > 0; }});
+    balancer.SetRoutes(m_routes);
+    CPPUNIT_ASSERT(balancer.OnPacket(Opening(1), m_now).action ==
+                   ForwardAction::kHold);
+    directory.Take(m_directory.entries().at(1).announcement, m_now);
+    EvacuationReport evacuations;
+    evacuations.table.Set("a", true, 1);
+    balancer.SetEvacuations(evacuations, m_now);
+    CPPUNIT_ASSERT(balancer.OnPacket(Opening(1), m_now).reason ==
+                   ForwardReason::kEvacuated);
+    CPPUNIT_ASSERT_EQUAL(0, admitted);
+    evacuations.table.Set("a", false, 2);
+    balancer.SetEvacuations(evacuations, m_now);
+    CPPUNIT_ASSERT(balancer.OnPacket(Opening(1), m_now).reason ==
+                   ForwardReason::kPlaced);
+    CPPUNIT_ASSERT_EQUAL(1, admitted);
+  }
+
  private:
   void OpenTwoFlows() {
     for (const std::uint16_t port : {1, 2}) OpenAt(port, kService, 1);
