Status page: the number of balancers with the newest evacuations

Cause: FeedPublisher counted at how many balancers the newest evacuations are in force, but only a test used the count; the status page did not show it. Change: `balancers_with_newest_evacuations` in the status of a control VM. Result: ControlPlaneTest::StatusShowsVersionsAndTargets failed before (-1 instead of 1) and passes.

--- a/src/status_page.cc
+++ b/src/status_page.cc
@@ -90,6 +90,8 @@
           {"balancers", std::move(balancers)},
           {"controls", std::move(controls)},
           {"evacuations", EvacuationsToJson(plane, now)},
+          {"balancers_with_newest_evacuations",
+           plane.publisher().BalancersWithNewestEvacuations()},
           {"targets", std::move(targets)}};
 }
 
--- a/tests/control_plane_test.cc
+++ b/tests/control_plane_test.cc
@@ -266,6 +266,7 @@
 
   void StatusShowsVersionsAndTargets() {
     CPPUNIT_ASSERT(SubmitNow(4) == OutcomeKind::kAccepted);
+    CPPUNIT_ASSERT(Order(true) == OutcomeKind::kAccepted);
     TargetAnnouncement report;
     report.number = 5;
     report.pool = "orders";
@@ -274,6 +275,9 @@
     FeedPoll poll;
     poll.version = ConfigVersion{3};
     poll.data_centre = "a";
+    m_plane->OnMessage(NodeId{0x0a000008}, MessageKind::kFeed, poll.Encode(),
+                       m_now);
+    poll.evacuations = m_plane->evacuations().version();
     m_plane->OnMessage(NodeId{0x0a000007}, MessageKind::kFeed, poll.Encode(),
                        m_now);
     const nlohmann::json status = ControlStatus(
@@ -289,6 +293,8 @@
     CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.5:80"),
                          status["targets"][0]["address"].get<std::string>());
     CPPUNIT_ASSERT(status["controls"].empty());
+    CPPUNIT_ASSERT_EQUAL(1,
+                         status.value("balancers_with_newest_evacuations", -1));
   }
 
   void FloodOfOneEventDoesNotSuppressOthers() {
