--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -226,11 +226,10 @@
   void OnDrained(TimePoint read_at, TimePoint sent_at);
   // The packet that OnPacket() decided to forward last, which has data or opens
   // its flow, waits for this VM's link. Must be called before the next
-  // OnPacket(). Afterwards, exactly one of
-  // the other two must be called for it: when it was handed to the socket, or
-  // when the queue dropped it. A packet that the queue does not accept is
-  // reported as queued and dropped, but a copy of a packet that waits already
-  // is not reported.
+  // OnPacket(). Afterwards, exactly one of the other two must be called for it:
+  // when it was handed to the socket, or when the queue dropped it. A packet
+  // that the queue does not accept is reported as queued and dropped, but a
+  // copy of a packet that waits already is not reported.
   void OnQueued(const FlowKey& key);
   void OnTransmitted(const FlowKey& key, TimePoint now);
   void OnQueueDropped(const FlowKey& key);
--- a/include/sardinelead/queued_flows.h
+++ b/include/sardinelead/queued_flows.h
@@ -4,7 +4,7 @@
 // The flows that have packets in the queue for this VM's own link.
 //
 // While a packet waits there, the target cannot have got it, so neither the
-// caller's retransmissions nor the missing answer say anything about the
+// caller's retransmissions nor the missing answer are evidence against the
 // target. Empty if nothing is queued, which every deployment without a paced
 // link always is.
 //
--- a/include/sardinelead/replica.h
+++ b/include/sardinelead/replica.h
@@ -189,7 +189,8 @@
   ReplicaOutput Submit(std::uint64_t request_id, const Document& document,
                        TimePoint deadline, TimePoint now);
   // Refused with kVersionConflict if the order was overtaken by a later one;
-  // see EvacuationOrder. Every accepted order has its own log index.
+  // see EvacuationOrder. Orders that are decided in one batch share a log
+  // index.
   ReplicaOutput Submit(std::uint64_t request_id, const EvacuationOrder& order,
                        TimePoint deadline, TimePoint now);
   // Requests a linearizable read. Answered `kAccepted` once this replica's
--- a/src/control_evacuation.cc
+++ b/src/control_evacuation.cc
@@ -23,7 +23,7 @@
                                    std::function<bool()> is_abandoned,
                                    OnOutcome on_outcome, TimePoint now) {
   if (!HasQuorum(now)) {
-    return on_outcome(NotSubmitted("no quorum of replicas is heard"));
+    return on_outcome(NotSubmitted("no quorum of replicas is reachable"));
   }
   const TimePoint deadline = now + m_settings.answer_deadline;
   const std::uint64_t read =
--- a/src/cookie_balancer_link.cc
+++ b/src/cookie_balancer_link.cc
@@ -1,4 +1,4 @@
-// What a CookieBalancer learns about packets that wait for this VM's own link.
+// How a CookieBalancer accounts for packets that wait for this VM's own link.
 //
 // OnPacket() assumes that a forwarded packet is handed to the socket at once.
 // If it was queued instead, the ages of the opening packet or request count
--- a/src/link_admission.h
+++ b/src/link_admission.h
@@ -17,7 +17,7 @@
 // lower ones until it must have arrived.
 //
 //   if (!admission.Admits(route, scheduler.ExpectedWait(route.priority),
-//                         link.HasBacklog(now), now)) {
+//                         has_backlog, now)) {
 //     // Reset the flow.
 //   }
 //   admission.OnRequest(route, bytes);  // For each request that was answered.
--- a/src/paced_sender.cc
+++ b/src/paced_sender.cc
@@ -23,8 +23,7 @@
   return flags;
 }
 
-// Whether the balancer is told about the packet. The others are answered by no
-// target.
+// Whether the packet is reported to the balancer. No target answers the others.
 bool IsReported(const ScheduledPacket& packet) {
   return (packet.flags & kOpens) != 0 || packet.length > 0;
 }
--- a/src/paced_sender.h
+++ b/src/paced_sender.h
@@ -6,8 +6,8 @@
 // Connects LinkModel, PacketScheduler and LinkAdmission with the balancer and
 // the packet socket. A packet is sent at once while the link is idle, without
 // being copied. Otherwise the scheduler keeps it and OnWake() sends it later;
-// the balancer is told about each packet that waits, is handed over or is
-// dropped, since none of that is evidence against a target.
+// each packet that waits, is handed over or is dropped is reported to the
+// balancer, since none of that is evidence against a target.
 //
 // A link whose capacity is unknown, or of kWideLink and more, which cannot be
 // the bottleneck of one process, delays, drops and refuses nothing.
@@ -66,8 +66,8 @@
   void Reset(const Forwarding& reset, const Endpoint& to, ByteView datagram,
              TimePoint now);
   void OnWake(TimePoint now);
-  // A packet was received. A link that is full of them tells nothing about the
-  // other direction.
+  // A packet was received. While the link is full of received packets, round
+  // trips are no evidence of a narrow link.
   void OnReceived(std::size_t bytes, TimePoint now) {
     m_received.Add(bytes);
     m_link.OnReceived(bytes, now);
--- a/src/target_directory.cc
+++ b/src/target_directory.cc
@@ -19,7 +19,7 @@
 }
 
 // Whether the target became cold again without a restart. Balancers get
-// announcements only when they change, so they would not learn of it.
+// an announcement only if it changes a field that they act on.
 bool HasBecomeCold(const TargetDirectory::Entry& entry,
                    const TargetAnnouncement& received, TimePoint heard_at) {
   return received.warm_up_left > Duration{0} && entry.warm_at <= heard_at &&
