--- a/src/target_directory.cc
+++ b/src/target_directory.cc
@@ -23,8 +23,8 @@
 }
 
 // Whether the target became cold again without a restart, or its warm-up ends
-// later than before. Balancers get announcements only when they change, so they
-// would not learn of it.
+// later than before. Balancers get an announcement only if it changes a field
+// that they act on.
 bool HasBecomeCold(const TargetDirectory::Entry& entry,
                    const TargetAnnouncement& received, TimePoint heard_at) {
   const bool is_cold = received.warm_up_left > Duration{0};
