--- a/src/control_plane.h
+++ b/src/control_plane.h
@@ -25,6 +25,7 @@
 #include "sardinelead/route_history.h"
 #include "sardinelead/route_table.h"
 #include "sardinelead/target_directory.h"
+#include "warm_up_granter.h"
 
 namespace sardinelead {
 
@@ -41,6 +42,8 @@
   // the minimum interval between writes, which limits the load on a slow disk.
   Duration save_delay = std::chrono::milliseconds(300);
   Duration save_interval = std::chrono::seconds(2);
+  // Empty if new flows to targets that are warming up are not limited.
+  std::optional<WarmUpGranterSettings> warm_up;
 };
 
 class ControlPlane {
@@ -60,6 +63,11 @@
                        const Evacuation& evacuation)>
         on_evacuation;
     TargetDirectory::OnReplaced on_target_replaced;
+    // Called for each decided grant of a target that is warming up. May be
+    // empty.
+    std::function<void(const WarmUpGrant& grant,
+                       const TargetAnnouncement& target)>
+        on_warm_up_granted = {};
     std::function<void(const Error& error)> on_error;
   };
   using OnOutcome = std::function<void(const Outcome& outcome)>;
@@ -120,6 +128,10 @@
   Result<void> StartReplica(TimePoint now);
   void Dispatch(ReplicaOutput output, TimePoint now);
   void UpdateRoutes(TimePoint now);
+  WarmUpGranter::Hooks GranterHooks() const;
+  void UpdateGrants(TimePoint now);
+  void TakeWarmUp(const TargetAnnouncement& target, TimePoint now);
+  void ProposeGrants(TimePoint now);
   void UpdateEvacuations(TimePoint now);
   EvacuationReport ReportEvacuations(TimePoint now) const;
   void ReportChanges(const ReplicaStatus& status);
@@ -137,6 +149,9 @@
   ConfigVersion m_read_version;  // Of the last document that was read.
   FeedPublisher m_publisher;
   FeedFollower m_follower;
+  std::optional<WarmUpGranter> m_granter;
+  std::uint64_t m_known_grants = 0;  // WarmUpGrants::added() when last read.
+  TimePoint m_next_warm_up_scan_at;
   std::uint64_t m_saved_revision = 0;
   std::vector<NodeId> m_saved_subscribers;
   std::optional<TimePoint> m_next_save_at;
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -48,6 +48,8 @@
       return "not-ready";
     case ForwardReason::kLinkFull:
       return "link-full";
+    case ForwardReason::kWarmUpLimit:
+      return "warm-up-limit";
     case ForwardReason::kCount:
       break;
   }
@@ -74,7 +76,8 @@
       m_directory(directory),
       m_hooks(std::move(hooks)),
       m_placement(m_settings.placement),
-      m_evacuations(m_settings.evacuation_shift) {}
+      m_evacuations(m_settings.evacuation_shift),
+      m_warm_up_limiter(m_settings.warm_up_window) {}
 
 void CookieBalancer::SetRoutes(RouteTable routes) {
   if (!(m_routes.version < routes.version)) return;
@@ -82,6 +85,7 @@
     if (routes.Find(route.address) == nullptr) AddRemovedRoute(route.address);
   }
   m_routes = std::move(routes);
+  m_targets_built_at = TimePoint{};
   for (const Route& route : m_routes.routes) {
     m_removed_routes.erase(route.address);
   }
@@ -90,6 +94,7 @@
 Result<void> CookieBalancer::ApplyRouteChange(const RouteChange& change) {
   auto applied = m_routes.Apply(change);
   if (!applied) return applied;
+  m_targets_built_at = TimePoint{};
   for (const Endpoint& address : change.removed) AddRemovedRoute(address);
   for (const Route& route : change.changed) {
     m_removed_routes.erase(route.address);
@@ -165,8 +170,8 @@
   if (packet.is_copy) return Drop(packet, ForwardReason::kUnplacedCopy);
   RemoveFlow(packet.flow);  // An earlier flow with the same addresses.
   const Route& route = *m_routes.Find(packet.flow.service);
-  const auto& targets =
-      TargetsInPool(route.SelectPool(packet.flow.Hash()), now);
+  const auto& known = TargetsInPool(route.SelectPool(packet.flow.Hash()), now);
+  const auto& targets = WithoutWithheld(known, now);
   // The link expects the request of each flow that it admits, so it is not
   // asked about flows that no target can take.
   const bool is_refused_here = m_hooks.admits &&
@@ -177,23 +182,32 @@
       m_placement.Choose(targets, m_hooks.balancers(), m_hooks.random(), now);
   const TargetDirectory::Entry* entry =
       chosen ? m_directory->Find(*chosen) : nullptr;
-  const bool is_evacuated = !chosen && !targets.empty();
-  if (is_evacuated) return MakeReset(packet, ForwardReason::kEvacuated);
+  if (entry != nullptr && !TakeWarmUpShare(*entry, now)) {
+    return MakeReset(packet, ForwardReason::kWarmUpLimit);
+  }
+  if (!chosen && !known.empty()) {
+    return MakeReset(packet, ReasonForNoTarget(known));
+  }
   if (entry == nullptr) {
     Forwarding out = MakeReset(packet, ForwardReason::kNoTarget);
     if (m_hooks.is_gathering()) out.action = ForwardAction::kHold;
     return out;
   }
+  RecordOpening(packet, *chosen, now);
+  return ForwardTo(*entry, packet.flow, ForwardReason::kPlaced);
+}
+
+void CookieBalancer::RecordOpening(const FlowPacket& packet,
+                                   std::uint64_t target, TimePoint now) {
   if (m_flows.size() >= m_settings.max_flows) ExpireFlows(now);
   Flow& flow = m_flows[packet.flow];
-  flow.target = *chosen;
+  flow.target = target;
   flow.opening_sequence = packet.sequence;
   flow.opened_at = now;
   flow.seen_at = now;
   flow.data_end = packet.sequence;
   flow.is_first_send = true;
-  m_placement.OnOpening(*chosen, now);
-  return ForwardTo(*entry, packet.flow, ForwardReason::kPlaced);
+  m_placement.OnOpening(target, now);
 }
 
 // Forwards an opening packet of a flow that was placed here before.
@@ -204,6 +218,9 @@
   if (entry == nullptr || flow->is_closed) {
     return Drop(packet, ForwardReason::kUnplacedCopy);
   }
+  if (!TakeWarmUpShare(*entry, now)) {
+    return Drop(packet, ForwardReason::kWarmUpLimit);
+  }
   flow->is_first_send = false;
   if (!flow->is_open && ReplacesDropped(packet.flow, flow)) {
     OnOpeningSent(flow, now);
@@ -367,6 +384,7 @@
 void CookieBalancer::RebuildTargetLists(TimePoint now) {
   std::unordered_map<std::string, std::vector<PlacementTarget>> silent;
   m_targets.clear();
+  m_warm_up_shares.clear();
   for (const auto& [number, entry] : m_directory->entries()) {
     if (entry.announcement.state != AnnouncedState::kReady) continue;
     PlacementTarget target;
@@ -374,9 +392,10 @@
     target.slots = entry.announcement.slots;
     const std::string& data_centre = entry.announcement.data_centre;
     target.is_local = data_centre == m_settings.data_centre;
-    target.is_warming_up = m_hooks.covered_time() < entry.warm_at ||
-                           m_evacuations.IsCold(data_centre, entry.heard_at);
+    target.is_warming_up = IsWarmingUp(entry);
     target.avoided_share = m_evacuations.AvoidedShare(data_centre, now);
+    const auto share = WarmUpShareFor(entry);
+    if (share) m_warm_up_shares.emplace(number, *share);
     target.heard_at = now - (m_hooks.covered_time() - entry.heard_at);
     auto& list = HasValidLease(entry) ? m_targets : silent;
     list[entry.announcement.pool].push_back(target);
@@ -402,6 +421,7 @@
 std::vector<Forwarding> CookieBalancer::Sweep(TimePoint now) {
   if (now - m_health_reported_at >= kReportInterval) ReportHealthChanges(now);
   ExpireFlows(now);
+  m_warm_up_limiter.RemoveIdle(now);
   return ResetFlowsOfEndedTargets();
 }
 
--- a/src/paced_sender.h
+++ b/src/paced_sender.h
@@ -83,6 +83,8 @@
   std::size_t queued_packets() const {  // NOLINT
     return m_scheduler.packets();
   }
+  // Whether an opening packet may be among those that wait.
+  bool HasUrgentQueued() const { return m_scheduler.HasUrgent(); }
   // Updates counters and gauges. Call every second.
   void Publish(TimePoint now);
 
--- a/src/packet_scheduler.h
+++ b/src/packet_scheduler.h
@@ -96,6 +96,7 @@
 
   std::size_t packets() const { return m_waiting.size(); }  // NOLINT
   std::size_t bytes() const { return m_bytes; }             // NOLINT
+  bool HasUrgent() const { return m_ranks.count(kUrgentRank) != 0; }
   // How long a packet of this priority would wait if it were added at `now`
   // and nothing followed.
   Duration ExpectedWait(std::uint32_t priority, TimePoint now) const;
--- a/src/register_command.h
+++ b/src/register_command.h
@@ -18,8 +18,9 @@
   kReplicaChange = 1,
   kJoin = 2,      // For a member: sets the id of the store that it votes from.
   kDocument = 3,  // A complete versioned document; the highest version wins.
-  kAddAndJoin = 4,  // Like kJoin, for a replica that is not a member yet.
-  kEvacuation = 5,  // Starts or finishes the evacuation of a data centre.
+  kAddAndJoin = 4,   // Like kJoin, for a replica that is not a member yet.
+  kEvacuation = 5,   // Starts or finishes the evacuation of a data centre.
+  kWarmUpGrant = 6,  // Grants for targets that are warming up.
 };
 
 struct Command {
@@ -27,7 +28,8 @@
   std::string operator_name;
   std::string id;
   // For kDocument, the document itself. Otherwise the CBOR encoding of the
-  // patch, the replica change, the join or the evacuation order.
+  // patch, the replica change, the join, the evacuation order or the list of
+  // grants.
   Bytes content;
 };
 
@@ -58,6 +60,10 @@
 // they do know.
 bool MayShareValue(CommandKind a, CommandKind b);
 
+Command MakeWarmUpGrantCommand(const std::vector<WarmUpGrant>& grants);
+// Returns nullopt if the content of a kWarmUpGrant cannot be read.
+std::optional<std::vector<WarmUpGrant>> GrantsOf(const Command& command);
+
 Bytes EncodeCommands(const std::vector<Command>& commands);
 std::optional<std::vector<Command>> DecodeCommands(ByteView bytes);
 
--- a/src/register_snapshot.cc
+++ b/src/register_snapshot.cc
@@ -5,6 +5,7 @@
 #include "cbor.h"
 #include "evacuation_encoding.h"
 #include "register_state.h"
+#include "warm_up_encoding.h"
 
 namespace sardinelead {
 namespace {
@@ -59,8 +60,11 @@
        std::move(members), std::move(outcomes), std::move(history), evicted,
        m_document.version.value, Binary(*m_document.content)});
   // Older versions cannot read this element, so it is left out if it is empty.
-  if (!m_evacuations.entries().empty()) {
-    state.push_back(json::array({ToJson(m_evacuations)}));
+  const bool has_grants = m_warm_up_grants.added() != 0;
+  if (has_grants || !m_evacuations.entries().empty()) {
+    json later = json::array({ToJson(m_evacuations)});
+    if (has_grants) later.push_back(ToJson(m_warm_up_grants));
+    state.push_back(std::move(later));
   }
   return ToCbor(state);
 }
@@ -117,8 +121,11 @@
   if (!reader.AtEnd()) {
     CborArrayReader later(reader.Array());
     auto evacuations = EvacuationsFromJson(later.Array());
-    is_valid = is_valid && evacuations && later.ok() && later.AtEnd();
+    std::optional<WarmUpGrants> grants = WarmUpGrants{};
+    if (!later.AtEnd()) grants = WarmUpGrantsFromJson(later.Array());
+    is_valid = is_valid && evacuations && grants && later.ok() && later.AtEnd();
     if (evacuations) state.m_evacuations = std::move(*evacuations);
+    if (grants) state.m_warm_up_grants = std::move(*grants);
   }
   if (!reader.ok() || !reader.AtEnd() || !is_valid) return std::nullopt;
   return state;
