Balancer: one check for pools whose targets are all evacuated

Cause: ReasonForNoTarget repeated the check of FlowPlacement::HasCandidate. Change: it calls HasCandidate.

--- a/src/cookie_balancer_warm_up.cc
+++ b/src/cookie_balancer_warm_up.cc
@@ -55,10 +55,7 @@
 // evacuated data centres are then all withheld.
 ForwardReason CookieBalancer::ReasonForNoTarget(
     const std::vector<PlacementTarget>& known) {
-  const bool is_evacuated = std::all_of(
-      known.begin(), known.end(),
-      [](const PlacementTarget& t) { return t.avoided_share.has_value(); });
-  if (is_evacuated) return ForwardReason::kEvacuated;
+  if (!FlowPlacement::HasCandidate(known)) return ForwardReason::kEvacuated;
   ++m_warm_up_counts.refused;
   return ForwardReason::kWarmUpLimit;
 }
