Soak: data centres are evacuated while faults occur

Cause: no run with real processes covered evacuations.

Change: an operator evacuates one data centre after the other. The ledger refuses new flows at targets there once an acknowledged order has to be in force, by the faults of the balancer alone. After the last fault all control processes are killed, and each must show the order that was in force.

--- a/soak/actors.cc
+++ b/soak/actors.cc
@@ -90,6 +90,7 @@
   while (!m_is_down) {
     Endpoint source;
     const auto datagram = socket.Receive(milliseconds(20), &source);
+    if (!datagram) m_read_all_at = SteadyNow();
     RetransmitOpeningAnswers(socket);
     if (!datagram || datagram->size() < 8) continue;
     // Addressed to an earlier target at this address; ignored.
@@ -142,6 +143,7 @@
     flow.next = packet.sequence + 1;
     m_state->ledger.OnOpened(m_number, m_pool, packet.destination, edge,
                              SteadyNow());
+    m_state->ledger.OnNewFlow(m_data_centre, edge, m_read_all_at);
   }
   PauseAtTimes();
   if (m_is_down) return;
--- a/soak/actors.h
+++ b/soak/actors.h
@@ -26,8 +26,14 @@
 constexpr std::uint16_t kReadinessPort = 8167;
 constexpr std::uint16_t kControlPort = 8166;
 constexpr std::uint16_t kCallRelayPort = 9166;
+constexpr std::uint16_t kMetricsPort = 7735;
 constexpr Duration kHeartbeat = std::chrono::milliseconds(400);
 
+constexpr std::uint64_t kDataCentres = 3;
+inline std::string DataCentreName(std::uint64_t place) {
+  return "dc-" + std::to_string(place % kDataCentres);
+}
+
 struct ConfigPlan {
   // Routes without traffic that the configuration grows to.
   std::size_t idle_routes = 0;
@@ -41,6 +47,8 @@
   std::vector<std::uint32_t> controls;
   std::vector<std::uint32_t> edges;
   std::atomic<bool> is_over{false};
+  // Faults have ended.
+  std::atomic<bool> is_healing{false};
   // How the configuration grows and changes.
   ConfigPlan config_plan;
   // Whether the process of a target is paused at times, as by a scheduler.
@@ -108,6 +116,7 @@
   std::mt19937_64 m_random;
   const std::uint64_t m_started_ms;
   std::uint64_t m_sequence = 0;
+  TimePoint m_read_all_at;  // Packets read later arrived later.
   std::size_t m_control = 0;
   std::atomic<bool> m_is_down{false};
   std::atomic<bool> m_is_leaving{false};
@@ -124,6 +133,9 @@
 // Changes the configuration at random intervals, sometimes with two concurrent
 // updates.
 void RunOperator(SoakState* world, std::uint64_t seed);
+// Evacuates data centres, one at a time. When the faults have ended, checks
+// that the order of that time is still in force, and withdraws it.
+void RunEvacuator(SoakState* world, std::uint64_t seed);
 void RunReader(SoakState* world, std::uint64_t seed);
 // Sends heartbeats that name no target to use, some with the address or the id
 // of a target. No control VM may end or stop serving because of them, and no
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -22,6 +22,7 @@
 void Ledger::Stop(std::uint32_t node, bool is_control) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_stopped_at[node] = Time();
+  m_evacuation_check.OnRestart(node, Time());
   if (is_control) m_control_fault_at = Time();
 }
 
@@ -30,11 +31,13 @@
   RecordFault(node, is_control, how);
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_active_faults.insert(node);
+  m_evacuation_check.BeginFault(node, Time());
 }
 
 void Ledger::EndFault(std::uint32_t node, bool is_control) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_active_faults.erase(node);
+  m_evacuation_check.EndFault(node, Time());
   m_fault_at[node] = Time();
   if (is_control) m_control_fault_at = Time();
 }
@@ -91,6 +94,28 @@
   }
 }
 
+void Ledger::OnEvacuationAcknowledged(const std::string& data_centre) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_evacuations;
+  m_evacuation_check.OnAcknowledged(data_centre, Time());
+}
+
+void Ledger::OnEvacuationFinishing(const std::string& data_centre) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_evacuation_check.OnFinishing(data_centre);
+}
+
+void Ledger::OnNewFlow(const std::string& data_centre, std::uint32_t edge,
+                       TimePoint arrived_at) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const bool is_forbidden =
+      m_evacuation_check.IsForbidden(data_centre, edge, arrived_at + m_skipped);
+  if (!is_forbidden) return;
+  AddViolationLocked("a target of evacuated " + data_centre +
+                     " got a new flow through " +
+                     IpAddress::FromV4(edge).ToString());
+}
+
 void Ledger::OnDrainAcknowledged(std::uint64_t target, std::uint32_t control) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   if (!IsStable(control, Time())) return;
@@ -234,7 +259,8 @@
          std::to_string(m_opened) + " flows opened, " +
          std::to_string(m_resets) + " resets, " +
          std::to_string(m_configs.size()) + " configurations, " +
-         std::to_string(m_reads) + " reads";
+         std::to_string(m_reads) + " reads, " + std::to_string(m_evacuations) +
+         " evacuations";
 }
 
 std::pair<std::uint64_t, std::uint64_t> Ledger::TakeCounts() {
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "clock.h"
+#include "evacuation_check.h"
 #include "sardinelead/types.h"
 
 namespace sardinelead::soak {
@@ -47,11 +48,19 @@
   void OnRead(std::uint64_t newest_at_send, std::uint64_t version,
               const std::string& text);
 
+  // Evacuations.
+  void OnEvacuationAcknowledged(const std::string& data_centre);
+  void OnEvacuationFinishing(const std::string& data_centre);
+
   // Targets.
   void OnDrainAcknowledged(std::uint64_t target, std::uint32_t control);
   void OnTargetDown(std::uint64_t target);
   void OnOpened(std::uint64_t target, const std::string& pool,
                 const Endpoint& service, std::uint32_t edge, TimePoint sent_at);
+  // Records an opening packet of a flow that is new to a target, which arrived
+  // at `arrived_at` or later.
+  void OnNewFlow(const std::string& data_centre, std::uint32_t edge,
+                 TimePoint arrived_at);
   void OnRun(std::uint64_t request, std::uint64_t target, bool may_repeat);
 
   // Callers.
@@ -101,6 +110,7 @@
   Duration m_skipped{0};
   TimePoint m_control_fault_at = SteadyNow();
   std::map<std::uint64_t, Config> m_configs;
+  EvacuationCheck m_evacuation_check;
   std::uint64_t m_newest_accepted = 0;
   // When a stable control process acknowledged the drain, by target.
   std::map<std::uint64_t, TimePoint> m_drains;
@@ -113,6 +123,7 @@
   std::uint64_t m_opened = 0;
   std::uint64_t m_resets = 0;
   std::uint64_t m_reads = 0;
+  std::uint64_t m_evacuations = 0;
   std::uint64_t m_taken_served = 0;
   std::uint64_t m_taken_failed = 0;
 };
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -18,7 +18,6 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint16_t kInternalPort = 7720;
-constexpr std::uint16_t kMetricsPort = 7735;
 
 std::string Text(std::uint32_t node) {
   return IpAddress::FromV4(node).ToString();
@@ -106,10 +105,15 @@
     listen["ready"] = At(node, kReadinessPort);
   }
   const std::string folder = m_settings.folder + "/" + process.child->name();
+  json data_centres;  // All in one region.
+  for (std::uint64_t i = 0; i < kDataCentres; ++i) {
+    data_centres[DataCentreName(i)] = "region";
+  }
   const json boot = {
       {"nodeName", process.child->name()},
       {"ip", Text(node)},
-      {"zone", "dc-" + std::to_string(node % kDataCentres)},
+      {"zone", DataCentreName(node)},
+      {"zones", data_centres},
       {"listen", listen},
       {"internalPorts", {kInternalPort, kMetricsPort}},
       {"seeds", seeds},
@@ -118,7 +122,10 @@
       {"heartbeatMs",
        std::chrono::duration_cast<milliseconds>(kHeartbeat).count()},
       {"tolerate", {{"machines", 1}}},
-      {"bounds", {{"graceS", 6}}}};
+      {"bounds",
+       {{"graceS", 6},
+        {"evacuateMs",
+         std::chrono::duration_cast<milliseconds>(kEvacuationLimit).count()}}}};
   std::ofstream(folder + "/boot.json") << boot.dump();
 }
 
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -19,8 +19,6 @@
 
 namespace sardinelead::soak {
 
-constexpr int kDataCentres = 3;
-
 struct SoakSettings {
   std::uint64_t seed = 1;
   std::string programs;  // Directory of the programs.
@@ -50,6 +48,7 @@
   void InjectFault();
   // Ends all faults and restarts what is down.
   void ClearFaults();
+  void KillAllControls();
   // Balancers run all the time from now on.
   void EndShares();
   // Runs due actions, pauses and continues balancers according to their share,
@@ -95,7 +94,6 @@
   void FillDisk(Process* process);
   void CorruptDisk(Process* process);
   void DisruptCalls(Process* process);
-  void KillAllControls();
   void ChangeTarget();
   void RestartEdges();
   void ApplyShares(TimePoint now);
--- a/soak/plan_targets.cc
+++ b/soak/plan_targets.cc
@@ -28,8 +28,7 @@
   const std::string pool = m_random() % 4 == 0 ? "gallery" : "orders";
   m_targets[place] = std::make_unique<TargetActor>(
       m_state, number, place < 2 ? (place == 0 ? "gallery" : "orders") : pool,
-      AddressOfTarget(place), "dc-" + std::to_string(place % kDataCentres),
-      m_random());
+      AddressOfTarget(place), DataCentreName(place), m_random());
 }
 
 // Makes one target crash or leave, and later starts another at its address.
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -33,7 +33,9 @@
 DEFINE_int32(targets, 10, "targets");
 DEFINE_int32(callers, 8, "callers at a time");
 DEFINE_int32(network, 77, "addresses are 127.NETWORK.x.x");
-DEFINE_bool(faults, true, "false leaves only changes of the configuration");
+DEFINE_bool(faults, true,
+            "false leaves only changes of the configuration and evacuations");
+DEFINE_bool(evacuations, true, "whether data centres are evacuated");
 DEFINE_bool(target_pauses, true,
             "whether the processes of targets are paused at times");
 DEFINE_double(edge_share, 1,
@@ -86,7 +88,8 @@
   for (const std::uint32_t edge : world->edges) {
     HttpClientRequest call;
     call.path = "/metrics";
-    const auto page = SendHttpRequest({IpAddress::FromV4(edge), 7735}, call);
+    const auto page =
+        SendHttpRequest({IpAddress::FromV4(edge), kMetricsPort}, call);
     const bool is_page =
         page && page->status == 200 &&
         page->body.find("sardinelead_packets_total") != std::string::npos;
@@ -146,10 +149,15 @@
       });
     }
     actors.emplace_back([&world, seed] { RunOperator(&world, seed); });
+    if (FLAGS_evacuations) {
+      actors.emplace_back([&world, seed] { RunEvacuator(&world, seed); });
+    }
     actors.emplace_back([&world, seed] { RunReader(&world, seed); });
     actors.emplace_back([&world, seed] { RunOddWriter(&world, seed); });
     RunFor(&system, seconds(FLAGS_seconds), FLAGS_faults, &random);
+    if (FLAGS_faults) system.KillAllControls();
     system.ClearFaults();
+    world.is_healing = true;
     RunFor(&system, kRecovery, false, &random);
     world.ledger.TakeCounts();
     RunFor(&system, kCheckTime, false, &random);
--- a/tests/soak_ledger_test.cc
+++ b/tests/soak_ledger_test.cc
@@ -24,6 +24,9 @@
   CPPUNIT_TEST(CatchesAResetByAnotherTarget);
   CPPUNIT_TEST(CatchesAResetAfterAFault);
   CPPUNIT_TEST(AllowsAResetOfAFlowWhoseTargetIsDown);
+  CPPUNIT_TEST(CatchesANewFlowInAnEvacuatedDataCentre);
+  CPPUNIT_TEST(RequiresEvacuationsAfterFaultsOfTheBalancer);
+  CPPUNIT_TEST(CatchesABalancerThatStartsWithoutTheEvacuation);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -105,6 +108,46 @@
     m_ledger.OnReset(6, true, kEdge, kService, "its target is down");
     AssertViolation(false);
   }
+  // Only the order of that data centre counts, and only until its finish.
+  void CatchesANewFlowInAnEvacuatedDataCentre() {
+    m_ledger.OnEvacuationAcknowledged("a");
+    m_ledger.OnEvacuationAcknowledged("b");
+    m_ledger.OnEvacuationFinishing("b");
+    m_ledger.OnNewFlow("a", kEdge, SteadyNow());
+    m_ledger.SkipTime(2 * kEvacuationLimit);
+    m_ledger.OnNewFlow("b", kEdge, SteadyNow());
+    AssertViolation(false);
+    m_ledger.OnNewFlow("a", kEdge, SteadyNow());
+    AssertViolation(true);
+  }
+  // A cut-off balancer learns the order late, but then keeps it. Faults of
+  // control processes are no excuse.
+  void RequiresEvacuationsAfterFaultsOfTheBalancer() {
+    m_ledger.BeginFault(kEdge, false, "cut");
+    m_ledger.OnEvacuationAcknowledged("a");
+    m_ledger.SkipTime(2 * kEvacuationLimit);
+    m_ledger.OnNewFlow("a", kEdge, SteadyNow());
+    m_ledger.EndFault(kEdge, false);
+    m_ledger.OnNewFlow("a", kEdge, SteadyNow());
+    AssertViolation(false);
+    m_ledger.SkipTime(2 * kEvacuationLimit);
+    m_ledger.BeginFault(kEdge, false, "freeze");
+    m_ledger.BeginFault(kEdge + 1, true, "split");
+    m_ledger.OnNewFlow("a", kEdge, SteadyNow());
+    AssertViolation(true);
+  }
+  // The order precedes the balancer's process, so no time is left to learn it.
+  void CatchesABalancerThatStartsWithoutTheEvacuation() {
+    m_ledger.OnEvacuationAcknowledged("a");
+    m_ledger.SkipTime(kEvacuationLimit * 2);
+    m_ledger.Stop(kEdge, false);
+    m_ledger.Stop(kEdge + 1, false);
+    m_ledger.BeginFault(kEdge, false, "cut");
+    m_ledger.OnNewFlow("a", kEdge, SteadyNow());
+    AssertViolation(false);
+    m_ledger.OnNewFlow("a", kEdge + 1, SteadyNow());
+    AssertViolation(true);
+  }
 
  private:
   Ledger m_ledger;
