Soak: balancers get a narrow link on request

Cause: no run with real processes limited a balancer's link.

Without faults and pauses, an answer after more than the scheduler's bound is a violation.

--- a/soak/actors.cc
+++ b/soak/actors.cc
@@ -89,24 +89,40 @@
   const UdpSocket socket(m_address);
   while (!m_is_down) {
     Endpoint source;
-    const auto datagram = socket.Receive(milliseconds(20), &source);
-    if (!datagram) m_read_all_at = SteadyNow();
+    auto datagram =
+        socket.Receive(milliseconds(m_held.empty() ? 20 : 1), &source);
+    if (!datagram && m_held.empty()) m_read_all_at = SteadyNow();
     RetransmitOpeningAnswers(socket);
-    if (!datagram || datagram->size() < 8) continue;
-    // Addressed to an earlier target at this address; ignored.
-    if (LoadBigEndian<std::uint64_t>(datagram->data()) != m_number) continue;
-    bool is_whole = false;
-    const auto packet = Packet::Decode(
-        ByteView(datagram->data() + 8, datagram->size() - 8), &is_whole);
-    if (!packet || !is_whole) {
-      m_state->ledger.AddViolation(
-          "a target got a packet that its caller did not send");
-      continue;
+    if (datagram) Hold(source.address.ToV4(), *std::move(datagram));
+    while (!m_held.empty() && m_held.begin()->first <= SteadyNow()) {
+      const auto held = m_held.extract(m_held.begin());
+      OnDatagram(held.mapped().first, held.mapped().second, socket);
     }
-    OnPacket(*packet, source.address.ToV4(), socket);
   }
 }
 
+void TargetActor::Hold(std::uint32_t edge, Bytes datagram) {
+  const auto link = m_state->links.find(edge);
+  if (link == m_state->links.end()) return;
+  const auto passes_at = link->second.Pass(
+      datagram.size(), m_state->link_bytes_per_second, SteadyNow());
+  if (!passes_at) return m_state->ledger.OnLostAtLink();
+  m_held.emplace(*passes_at, std::make_pair(edge, std::move(datagram)));
+}
+
+void TargetActor::OnDatagram(std::uint32_t edge, const Bytes& datagram,
+                             const UdpSocket& socket) {
+  if (datagram.size() < 8) return;
+  // Addressed to an earlier target at this address; ignored.
+  if (LoadBigEndian<std::uint64_t>(datagram.data()) != m_number) return;
+  bool is_whole = false;
+  const auto packet = Packet::Decode(
+      ByteView(datagram.data() + 8, datagram.size() - 8), &is_whole);
+  if (packet && is_whole) return OnPacket(*packet, edge, socket);
+  m_state->ledger.AddViolation(
+      "a target got a packet that its caller did not send");
+}
+
 // The process gets no processor for a while. All that it would do waits.
 void TargetActor::PauseAtTimes() {
   const bool is_paused =
--- a/soak/actors.h
+++ b/soak/actors.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "ledger.h"
+#include "narrow_link.h"
 #include "sardinelead/types.h"
 
 namespace sardinelead::soak {
@@ -54,6 +55,11 @@
   // Whether the process of a target is paused at times, as by a scheduler.
   bool do_targets_pause = true;
 
+  // The rate of each balancer's link towards the targets, 0 for no limit.
+  double link_bytes_per_second = 0;
+  // By balancer. Entries are added before the targets start.
+  std::map<std::uint32_t, NarrowLink> links;
+
   // Edges that the routers currently send traffic to.
   std::vector<std::uint32_t> InRotation() const;
   void SetInRotation(std::vector<std::uint32_t> edges);
@@ -99,6 +105,10 @@
   };
 
   void Serve();
+  // Takes a datagram that `edge` has sent and its link has not carried yet.
+  void Hold(std::uint32_t edge, Bytes datagram);
+  void OnDatagram(std::uint32_t edge, const Bytes& datagram,
+                  const class UdpSocket& socket);
   void OnPacket(const struct Packet& packet, std::uint32_t edge,
                 const class UdpSocket& socket);
   void OnOpening(const struct Packet& packet, std::uint32_t edge,
@@ -118,6 +128,8 @@
   std::uint64_t m_sequence = 0;
   TimePoint m_read_all_at;  // Packets read later arrived later.
   std::size_t m_control = 0;
+  // By the time at which the link has carried them, with the balancer.
+  std::multimap<TimePoint, std::pair<std::uint32_t, Bytes>> m_held;
   std::atomic<bool> m_is_down{false};
   std::atomic<bool> m_is_leaving{false};
   std::map<std::pair<Endpoint, Endpoint>, Flow> m_flows;
--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -54,7 +54,7 @@
   // Returns whether the request was answered.
   bool Request(std::uint64_t request) {
     Packet packet = Make(kAcknowledge);
-    packet.data.resize(9);
+    packet.data.resize(m_service == PhotosService() ? kLargeRequest : 9);
     StoreBigEndian(request, packet.data.data());
     packet.data[8] = IsIdempotent(m_service) ? 1 : 0;
     const TimePoint begin = SteadyNow();
@@ -70,7 +70,7 @@
       if (!answer) continue;
       m_sequence += static_cast<std::uint32_t>(packet.data.size());
       m_acknowledged += static_cast<std::uint32_t>(answer->data.size());
-      Check(request, *answer, SteadyNow() - begin > milliseconds(500));
+      Check(request, *answer, SteadyNow() - begin);
       Packet acknowledge = Make(kAcknowledge);
       Send(acknowledge);
       return true;
@@ -89,7 +89,7 @@
   void Finish() { Send(Make(kFinish | kAcknowledge)); }
 
  private:
-  void Check(std::uint64_t request, const Packet& answer, bool was_late) {
+  void Check(std::uint64_t request, const Packet& answer, Duration waited) {
     const bool has_id = answer.data.size() >= 8;
     const std::uint64_t answered =
         has_id ? LoadBigEndian<std::uint64_t>(answer.data.data()) : 0;
@@ -97,7 +97,9 @@
         answer.data.size() == kAnswerBytes &&
         std::all_of(answer.data.begin() + 8, answer.data.end(),
                     [](std::uint8_t b) { return b == kAnswerFill; });
-    m_state->ledger.OnAnswer(request, answered, is_whole, was_late);
+    m_state->ledger.OnAnswer(request, answered, is_whole,
+                             waited > milliseconds(500));
+    if (!IsExtra(m_service)) m_state->ledger.OnWaited(waited);
   }
 
   Packet Make(std::uint8_t flags) const {
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -8,6 +8,10 @@
 
 constexpr std::size_t kMaxViolations = 50;
 
+std::string Milliseconds(Duration span) {
+  return std::to_string(span / std::chrono::milliseconds(1)) + " ms";
+}
+
 }  // namespace
 
 void Ledger::RecordFault(std::uint32_t node, bool is_control,
@@ -195,6 +199,23 @@
   }
 }
 
+void Ledger::OnWaited(Duration waited) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_longest_wait = std::max(m_longest_wait, waited);
+  if (waited <= m_answer_limit) return;
+  AddViolationLocked("a request was answered after " + Milliseconds(waited));
+}
+
+void Ledger::RequireAnswersWithin(Duration limit) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_answer_limit = limit;
+}
+
+void Ledger::OnLostAtLink() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_lost_at_links;
+}
+
 void Ledger::OnFailed(std::uint64_t) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   ++m_failed;
@@ -255,12 +276,12 @@
 std::string Ledger::Summary() const {
   const std::lock_guard<std::mutex> lock(m_mutex);
   return std::to_string(m_served) + " served (" + std::to_string(m_late) +
-         " late), " + std::to_string(m_failed) + " failed, " +
-         std::to_string(m_opened) + " flows opened, " +
-         std::to_string(m_resets) + " resets, " +
+         " late, longest wait " + Milliseconds(m_longest_wait) + "), " +
+         std::to_string(m_failed) + " failed, " + std::to_string(m_opened) +
+         " flows opened, " + std::to_string(m_resets) + " resets, " +
          std::to_string(m_configs.size()) + " configurations, " +
          std::to_string(m_reads) + " reads, " + std::to_string(m_evacuations) +
-         " evacuations";
+         " evacuations, " + std::to_string(m_lost_at_links) + " lost at links";
 }
 
 std::pair<std::uint64_t, std::uint64_t> Ledger::TakeCounts() {
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -66,6 +66,12 @@
   // Callers.
   void OnAnswer(std::uint64_t request, std::uint64_t answered_request,
                 bool is_whole, bool was_late);
+  // Records the wait for an answer of a service that always has a route.
+  void OnWaited(Duration waited);
+  // From now on, a longer wait is a violation.
+  void RequireAnswersWithin(Duration limit);
+  // Records a packet that a balancer sent faster than its link carries.
+  void OnLostAtLink();
   void OnFailed(std::uint64_t request);
   // Records a reset that the flow's target did not send.
   void OnReset(std::uint64_t target, bool is_open, std::uint32_t edge,
@@ -124,6 +130,9 @@
   std::uint64_t m_resets = 0;
   std::uint64_t m_reads = 0;
   std::uint64_t m_evacuations = 0;
+  std::uint64_t m_lost_at_links = 0;
+  Duration m_longest_wait{0};
+  Duration m_answer_limit = Duration::max();
   std::uint64_t m_taken_served = 0;
   std::uint64_t m_taken_failed = 0;
 };
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -18,6 +18,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint16_t kInternalPort = 7720;
+constexpr std::uint64_t kMaxDescriptors = 4096;  // Of a balancer.
 
 std::string Text(std::uint32_t node) {
   return IpAddress::FromV4(node).ToString();
@@ -65,6 +66,7 @@
   }
   for (const std::uint32_t node : m_state->edges) {
     m_relay.Add(node);
+    m_state->links[node];
     AddProcess(node, false);
   }
   m_relay_thread = std::thread([this] {
@@ -109,7 +111,7 @@
   for (std::uint64_t i = 0; i < kDataCentres; ++i) {
     data_centres[DataCentreName(i)] = "region";
   }
-  const json boot = {
+  json boot = {
       {"nodeName", process.child->name()},
       {"ip", Text(node)},
       {"zone", DataCentreName(node)},
@@ -126,6 +128,10 @@
        {{"graceS", 6},
         {"evacuateMs",
          std::chrono::duration_cast<milliseconds>(kEvacuationLimit).count()}}}};
+  if (!process.is_control && m_state->link_bytes_per_second > 0) {
+    boot["limits"] = {{"maxFds", kMaxDescriptors},
+                      {"linkMbps", m_state->link_bytes_per_second * 8 / 1e6}};
+  }
   std::ofstream(folder + "/boot.json") << boot.dump();
 }
 
--- a/soak/services.cc
+++ b/soak/services.cc
@@ -23,6 +23,12 @@
   return {IpAddress::FromV4(kServiceNet + last), port};
 }
 
+// The large requests have the lowest rank.
+int PriorityOf(const Endpoint& service) {
+  if (service == NotesService()) return 0;
+  return service == PhotosService() ? 2 : 1;
+}
+
 }  // namespace
 
 Endpoint NotesService() { return ServiceAt(1, 8080); }
@@ -68,7 +74,7 @@
          {"type", IsIdempotent(service) ? "idempotent" : "non_idempotent"},
          {"timeoutMs", 3000},
          {"targetLatencyMs", 300},
-         {"priority", 1},
+         {"priority", PriorityOf(service)},
          {"service", pool}});
   }
   const json root = {{"version", version},
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -35,6 +35,8 @@
 DEFINE_int32(network, 77, "addresses are 127.NETWORK.x.x");
 DEFINE_bool(faults, true,
             "false leaves only changes of the configuration and evacuations");
+DEFINE_uint64(link_kbit_s, 0,
+              "rate of each balancer's link to the targets; 0 for no limit");
 DEFINE_bool(evacuations, true, "whether data centres are evacuated");
 DEFINE_bool(target_pauses, true,
             "whether the processes of targets are paused at times");
@@ -128,6 +130,12 @@
   std::filesystem::remove_all(settings.folder);
   std::printf("seed %llu\n", static_cast<unsigned long long>(seed));  // NOLINT
   SoakState world;
+  world.link_bytes_per_second = static_cast<double>(FLAGS_link_kbit_s) * 125;
+  const bool is_disturbed = FLAGS_faults || FLAGS_target_pauses;
+  if (FLAGS_link_kbit_s > 0 && !is_disturbed) {
+    world.ledger.RequireAnswersWithin(
+        NarrowLink::LongestWait(world.link_bytes_per_second));
+  }
   world.do_targets_pause = FLAGS_target_pauses;
   world.config_plan.idle_routes = FLAGS_idle_routes;
   world.config_plan.max_interval = milliseconds(FLAGS_change_interval_ms);
@@ -170,7 +178,7 @@
                                 std::to_string(served + failed) +
                                 " requests were served after all was healed");
     }
-    if (!FLAGS_faults && !FLAGS_target_pauses) {
+    if (!is_disturbed) {
       CheckNoTargetWasLost(settings.folder, &world);
     }
     system.EndShares();
--- a/tests/soak_ledger_test.cc
+++ b/tests/soak_ledger_test.cc
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "ledger.h"
+#include "narrow_link.h"
 
 namespace sardinelead::soak {
 namespace {
@@ -27,6 +28,8 @@
   CPPUNIT_TEST(CatchesANewFlowInAnEvacuatedDataCentre);
   CPPUNIT_TEST(RequiresEvacuationsAfterFaultsOfTheBalancer);
   CPPUNIT_TEST(CatchesABalancerThatStartsWithoutTheEvacuation);
+  CPPUNIT_TEST(CatchesALongWaitForTheLink);
+  CPPUNIT_TEST(LosesPacketsBeyondTheDepthOfTheLink);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -148,6 +151,28 @@
     m_ledger.OnNewFlow("a", kEdge + 1, SteadyNow());
     AssertViolation(true);
   }
+  void CatchesALongWaitForTheLink() {
+    const Duration limit = NarrowLink::LongestWait(25'000);
+    m_ledger.OnWaited(2 * limit);
+    m_ledger.RequireAnswersWithin(limit);
+    m_ledger.OnWaited(limit);
+    AssertViolation(false);
+    m_ledger.OnWaited(limit + Duration{1});
+    AssertViolation(true);
+  }
+  // 972 and 28 bytes of headers, at 10,000 bytes per second.
+  void LosesPacketsBeyondTheDepthOfTheLink() {
+    NarrowLink link;
+    const TimePoint now = SteadyNow();
+    constexpr Duration kTransfer = std::chrono::milliseconds(100);
+    for (int i = 1; i <= 3; ++i) {
+      CPPUNIT_ASSERT(link.Pass(972, 10'000, now) == now + i * kTransfer);
+    }
+    CPPUNIT_ASSERT(!link.Pass(972, 10'000, now));
+    CPPUNIT_ASSERT(link.Pass(972, 10'000, now + 3 * kTransfer) ==
+                   now + 4 * kTransfer);
+    CPPUNIT_ASSERT(link.Pass(972, 0, now) == now);
+  }
 
  private:
   Ledger m_ledger;
