Soak: the narrow link's queue takes what a balancer sends in advance

Cause: a queue of 200 ms is 1,250 bytes at 50 kbit/s, and a balancer sends 2,600 bytes in advance.

Change: the queue holds 8,192 bytes at any rate.

SoakLedgerTest: 15 passed.

--- a/soak/narrow_link.cc
+++ b/soak/narrow_link.cc
@@ -23,7 +23,9 @@
   if (bytes_per_second <= 0) return now;
   const std::lock_guard<std::mutex> lock(m_mutex);
   const TimePoint begin = std::max(m_free_at, now);
-  if (begin - now > kDepth) return std::nullopt;
+  const double waiting =
+      std::chrono::duration<double>(begin - now).count() * bytes_per_second;
+  if (waiting > static_cast<double>(kDepth)) return std::nullopt;
   m_free_at = begin + TransferTime(bytes, bytes_per_second);
   return m_free_at;
 }
--- a/soak/narrow_link.h
+++ b/soak/narrow_link.h
@@ -18,7 +18,8 @@
 
 class NarrowLink {
  public:
-  static constexpr Duration kDepth = std::chrono::milliseconds(200);
+  // More than a balancer sends in advance (2,600 bytes), at any rate.
+  static constexpr std::size_t kDepth = 8192;  // Bytes.
 
   // Returns when a datagram that is sent at `now` has passed a link of
   // `bytes_per_second`, or nullopt if it is lost. A rate of 0 is no limit.
