--- a/soak/actors.h
+++ b/soak/actors.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "ledger.h"
+#include "narrow_link.h"
 #include "sardinelead/types.h"
 
 namespace sardinelead::soak {
@@ -26,8 +27,14 @@
 constexpr std::uint16_t kReadinessPort = 8167;
 constexpr std::uint16_t kControlPort = 8166;
 constexpr std::uint16_t kCallRelayPort = 9166;
+constexpr std::uint16_t kMetricsPort = 7735;
 constexpr Duration kHeartbeat = std::chrono::milliseconds(400);
 
+constexpr std::uint64_t kDataCentres = 3;
+inline std::string DataCentreName(std::uint64_t place) {
+  return "dc-" + std::to_string(place % kDataCentres);
+}
+
 struct ConfigPlan {
   // Routes without traffic that the configuration grows to.
   std::size_t idle_routes = 0;
@@ -41,11 +48,18 @@
   std::vector<std::uint32_t> controls;
   std::vector<std::uint32_t> edges;
   std::atomic<bool> is_over{false};
+  // Faults have ended.
+  std::atomic<bool> is_healing{false};
   // How the configuration grows and changes.
   ConfigPlan config_plan;
   // Whether the process of a target is paused at times, as by a scheduler.
   bool do_targets_pause = true;
 
+  // The rate of each balancer's link towards the targets, 0 for no limit.
+  double link_bytes_per_second = 0;
+  // By balancer. Entries are added before the targets start.
+  std::map<std::uint32_t, NarrowLink> links;
+
   // Edges that the routers currently send traffic to.
   std::vector<std::uint32_t> InRotation() const;
   void SetInRotation(std::vector<std::uint32_t> edges);
@@ -91,6 +105,10 @@
   };
 
   void Serve();
+  // Takes a datagram that `edge` has sent and its link has not carried yet.
+  void Hold(std::uint32_t edge, Bytes datagram);
+  void OnDatagram(std::uint32_t edge, const Bytes& datagram,
+                  const class UdpSocket& socket);
   void OnPacket(const struct Packet& packet, std::uint32_t edge,
                 const class UdpSocket& socket);
   void OnOpening(const struct Packet& packet, std::uint32_t edge,
@@ -108,7 +126,10 @@
   std::mt19937_64 m_random;
   const std::uint64_t m_started_ms;
   std::uint64_t m_sequence = 0;
+  TimePoint m_read_all_at;  // Packets read later arrived later.
   std::size_t m_control = 0;
+  // By the time at which the link has carried them, with the balancer.
+  std::multimap<TimePoint, std::pair<std::uint32_t, Bytes>> m_held;
   std::atomic<bool> m_is_down{false};
   std::atomic<bool> m_is_leaving{false};
   std::map<std::pair<Endpoint, Endpoint>, Flow> m_flows;
@@ -124,6 +145,9 @@
 // Changes the configuration at random intervals, sometimes with two concurrent
 // updates.
 void RunOperator(SoakState* world, std::uint64_t seed);
+// Evacuates data centres, one at a time. When the faults have ended, checks
+// that the order of that time is still in force, and withdraws it.
+void RunEvacuator(SoakState* world, std::uint64_t seed);
 void RunReader(SoakState* world, std::uint64_t seed);
 // Sends heartbeats that name no target to use, some with the address or the id
 // of a target. No control VM may end or stop serving because of them, and no
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -8,6 +8,10 @@
 
 constexpr std::size_t kMaxViolations = 50;
 
+std::string Milliseconds(Duration span) {
+  return std::to_string(span / std::chrono::milliseconds(1)) + " ms";
+}
+
 }  // namespace
 
 void Ledger::RecordFault(std::uint32_t node, bool is_control,
@@ -22,6 +26,7 @@
 void Ledger::Stop(std::uint32_t node, bool is_control) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_stopped_at[node] = Time();
+  m_evacuation_check.OnRestart(node, Time());
   if (is_control) m_control_fault_at = Time();
 }
 
@@ -30,11 +35,13 @@
   RecordFault(node, is_control, how);
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_active_faults.insert(node);
+  m_evacuation_check.BeginFault(node, Time());
 }
 
 void Ledger::EndFault(std::uint32_t node, bool is_control) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_active_faults.erase(node);
+  m_evacuation_check.EndFault(node, Time());
   m_fault_at[node] = Time();
   if (is_control) m_control_fault_at = Time();
 }
@@ -91,6 +98,28 @@
   }
 }
 
+void Ledger::OnEvacuationAcknowledged(const std::string& data_centre) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_evacuations;
+  m_evacuation_check.OnAcknowledged(data_centre, Time());
+}
+
+void Ledger::OnEvacuationFinishing(const std::string& data_centre) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_evacuation_check.OnFinishing(data_centre);
+}
+
+void Ledger::OnNewFlow(const std::string& data_centre, std::uint32_t edge,
+                       TimePoint arrived_at) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const bool is_forbidden =
+      m_evacuation_check.IsForbidden(data_centre, edge, arrived_at + m_skipped);
+  if (!is_forbidden) return;
+  AddViolationLocked("a target of evacuated " + data_centre +
+                     " got a new flow through " +
+                     IpAddress::FromV4(edge).ToString());
+}
+
 void Ledger::OnDrainAcknowledged(std::uint64_t target, std::uint32_t control) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   if (!IsStable(control, Time())) return;
@@ -170,6 +199,23 @@
   }
 }
 
+void Ledger::OnWaited(Duration waited) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_longest_wait = std::max(m_longest_wait, waited);
+  if (waited <= m_answer_limit) return;
+  AddViolationLocked("a request was answered after " + Milliseconds(waited));
+}
+
+void Ledger::RequireAnswersWithin(Duration limit) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_answer_limit = limit;
+}
+
+void Ledger::OnLostAtLink() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_lost_at_links;
+}
+
 void Ledger::OnFailed(std::uint64_t) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   ++m_failed;
@@ -230,11 +276,12 @@
 std::string Ledger::Summary() const {
   const std::lock_guard<std::mutex> lock(m_mutex);
   return std::to_string(m_served) + " served (" + std::to_string(m_late) +
-         " late), " + std::to_string(m_failed) + " failed, " +
-         std::to_string(m_opened) + " flows opened, " +
-         std::to_string(m_resets) + " resets, " +
+         " late, longest wait " + Milliseconds(m_longest_wait) + "), " +
+         std::to_string(m_failed) + " failed, " + std::to_string(m_opened) +
+         " flows opened, " + std::to_string(m_resets) + " resets, " +
          std::to_string(m_configs.size()) + " configurations, " +
-         std::to_string(m_reads) + " reads";
+         std::to_string(m_reads) + " reads, " + std::to_string(m_evacuations) +
+         " evacuations, " + std::to_string(m_lost_at_links) + " lost at links";
 }
 
 std::pair<std::uint64_t, std::uint64_t> Ledger::TakeCounts() {
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -18,7 +18,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint16_t kInternalPort = 7720;
-constexpr std::uint16_t kMetricsPort = 7735;
+constexpr std::uint64_t kMaxDescriptors = 4096;  // Of a balancer.
 
 std::string Text(std::uint32_t node) {
   return IpAddress::FromV4(node).ToString();
@@ -66,6 +66,7 @@
   }
   for (const std::uint32_t node : m_state->edges) {
     m_relay.Add(node);
+    m_state->links[node];
     AddProcess(node, false);
   }
   m_relay_thread = std::thread([this] {
@@ -106,10 +107,15 @@
     listen["ready"] = At(node, kReadinessPort);
   }
   const std::string folder = m_settings.folder + "/" + process.child->name();
-  const json boot = {
+  json data_centres;  // All in one region.
+  for (std::uint64_t i = 0; i < kDataCentres; ++i) {
+    data_centres[DataCentreName(i)] = "region";
+  }
+  json boot = {
       {"nodeName", process.child->name()},
       {"ip", Text(node)},
-      {"zone", "dc-" + std::to_string(node % kDataCentres)},
+      {"zone", DataCentreName(node)},
+      {"zones", data_centres},
       {"listen", listen},
       {"internalPorts", {kInternalPort, kMetricsPort}},
       {"seeds", seeds},
@@ -118,7 +124,14 @@
       {"heartbeatMs",
        std::chrono::duration_cast<milliseconds>(kHeartbeat).count()},
       {"tolerate", {{"machines", 1}}},
-      {"bounds", {{"graceS", 6}}}};
+      {"bounds",
+       {{"graceS", 6},
+        {"evacuateMs",
+         std::chrono::duration_cast<milliseconds>(kEvacuationLimit).count()}}}};
+  if (!process.is_control && m_state->link_bytes_per_second > 0) {
+    boot["limits"] = {{"maxFds", kMaxDescriptors},
+                      {"linkMbps", m_state->link_bytes_per_second * 8 / 1e6}};
+  }
   std::ofstream(folder + "/boot.json") << boot.dump();
 }
 
--- a/tests/soak_ledger_test.cc
+++ b/tests/soak_ledger_test.cc
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "ledger.h"
+#include "narrow_link.h"
 
 namespace sardinelead::soak {
 namespace {
@@ -24,6 +25,11 @@
   CPPUNIT_TEST(CatchesAResetByAnotherTarget);
   CPPUNIT_TEST(CatchesAResetAfterAFault);
   CPPUNIT_TEST(AllowsAResetOfAFlowWhoseTargetIsDown);
+  CPPUNIT_TEST(CatchesANewFlowInAnEvacuatedDataCentre);
+  CPPUNIT_TEST(RequiresEvacuationsAfterFaultsOfTheBalancer);
+  CPPUNIT_TEST(CatchesABalancerThatStartsWithoutTheEvacuation);
+  CPPUNIT_TEST(CatchesALongWaitForTheLink);
+  CPPUNIT_TEST(LosesPacketsBeyondTheDepthOfTheLink);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -105,6 +111,68 @@
     m_ledger.OnReset(6, true, kEdge, kService, "its target is down");
     AssertViolation(false);
   }
+  // Only the order of that data centre counts, and only until its finish.
+  void CatchesANewFlowInAnEvacuatedDataCentre() {
+    m_ledger.OnEvacuationAcknowledged("a");
+    m_ledger.OnEvacuationAcknowledged("b");
+    m_ledger.OnEvacuationFinishing("b");
+    m_ledger.OnNewFlow("a", kEdge, SteadyNow());
+    m_ledger.SkipTime(2 * kEvacuationLimit);
+    m_ledger.OnNewFlow("b", kEdge, SteadyNow());
+    AssertViolation(false);
+    m_ledger.OnNewFlow("a", kEdge, SteadyNow());
+    AssertViolation(true);
+  }
+  // A cut-off balancer learns the order late, but then keeps it. Faults of
+  // control processes are no excuse.
+  void RequiresEvacuationsAfterFaultsOfTheBalancer() {
+    m_ledger.BeginFault(kEdge, false, "cut");
+    m_ledger.OnEvacuationAcknowledged("a");
+    m_ledger.SkipTime(2 * kEvacuationLimit);
+    m_ledger.OnNewFlow("a", kEdge, SteadyNow());
+    m_ledger.EndFault(kEdge, false);
+    m_ledger.OnNewFlow("a", kEdge, SteadyNow());
+    AssertViolation(false);
+    m_ledger.SkipTime(2 * kEvacuationLimit);
+    m_ledger.BeginFault(kEdge, false, "freeze");
+    m_ledger.BeginFault(kEdge + 1, true, "split");
+    m_ledger.OnNewFlow("a", kEdge, SteadyNow());
+    AssertViolation(true);
+  }
+  // The order precedes the balancer's process, so no time is left to learn it.
+  void CatchesABalancerThatStartsWithoutTheEvacuation() {
+    m_ledger.OnEvacuationAcknowledged("a");
+    m_ledger.SkipTime(kEvacuationLimit * 2);
+    m_ledger.Stop(kEdge, false);
+    m_ledger.Stop(kEdge + 1, false);
+    m_ledger.BeginFault(kEdge, false, "cut");
+    m_ledger.OnNewFlow("a", kEdge, SteadyNow());
+    AssertViolation(false);
+    m_ledger.OnNewFlow("a", kEdge + 1, SteadyNow());
+    AssertViolation(true);
+  }
+  void CatchesALongWaitForTheLink() {
+    const Duration limit = NarrowLink::LongestWait(25'000);
+    m_ledger.OnWaited(2 * limit);
+    m_ledger.RequireAnswersWithin(limit);
+    m_ledger.OnWaited(limit);
+    AssertViolation(false);
+    m_ledger.OnWaited(limit + Duration{1});
+    AssertViolation(true);
+  }
+  // 972 and 28 bytes of headers, at 10,000 bytes per second.
+  void LosesPacketsBeyondTheDepthOfTheLink() {
+    NarrowLink link;
+    const TimePoint now = SteadyNow();
+    constexpr Duration kTransfer = std::chrono::milliseconds(100);
+    for (int i = 1; i <= 9; ++i) {
+      CPPUNIT_ASSERT(link.Pass(972, 10'000, now) == now + i * kTransfer);
+    }
+    CPPUNIT_ASSERT(!link.Pass(972, 10'000, now));
+    CPPUNIT_ASSERT(link.Pass(972, 10'000, now + 9 * kTransfer) ==
+                   now + 10 * kTransfer);
+    CPPUNIT_ASSERT(link.Pass(972, 0, now) == now);
+  }
 
  private:
   Ledger m_ledger;
