--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -119,6 +119,10 @@
     CPPUNIT_ASSERT(full->evacuation_bound == std::chrono::seconds(5));
     CPPUNIT_ASSERT_EQUAL(1.5, full->warm_up_limit->rate_factor);
     CPPUNIT_ASSERT_EQUAL(5.0, full->warm_up_limit->slack);
+    // A negative rate must not become a large unsigned one.
+    json negative = boot;
+    negative["limits"]["linkMbps"] = -1.5;
+    AssertRejected(negative, "limits.linkMbps", DecodeBootSettings);
     boot["someNewField"] = {1, 2};
     boot["dataDir"] = "/data/x";
     CPPUNIT_ASSERT_EQUAL(std::string("/data/x"),
