Evacuations: a repeated order has no effect on targets or on the shift

Change: the table keeps the log index of the last order that changed the state beside that of the last order; balancers compare the former. The tests build their tables with the evacuation that precedes a finish; the new checks fail on the code before, which has no such index.

--- a/include/sardinelead/evacuation.h
+++ b/include/sardinelead/evacuation.h
@@ -24,6 +24,8 @@
   bool is_active = false;
   // Log index of the last order, also of one that found the state as wanted.
   std::uint64_t changed_at = 0;
+  // Log index of the last order that changed `is_active`; 0 if none did.
+  std::uint64_t switched_at = 0;
 };
 
 // A request to start or finish the evacuation of a data centre.
@@ -57,6 +59,8 @@
   // nothing, if a limit above is exceeded or the name is empty.
   bool Set(const std::string& data_centre, bool is_active,
            std::uint64_t log_index);
+  // Sets a decoded entry. Fails like Set().
+  bool Restore(const std::string& data_centre, const Evacuation& evacuation);
 
  private:
   std::map<std::string, Evacuation> m_entries;
--- a/include/sardinelead/evacuation_filter.h
+++ b/include/sardinelead/evacuation_filter.h
@@ -56,6 +56,8 @@
   Times FinishedTimes(const EvacuationReport& report,
                       const std::string& data_centre,
                       TimePoint covered_time) const;
+  bool IsUnchanged(const EvacuationReport& report,
+                   const std::string& data_centre) const;
 
   Duration m_shift;
   EvacuationTable m_table;
--- a/src/evacuation_encoding.cc
+++ b/src/evacuation_encoding.cc
@@ -13,7 +13,7 @@
   for (const auto& [data_centre, evacuation] : table.entries()) {
     list.push_back(
         json::array({data_centre, std::uint64_t{evacuation.is_active ? 1U : 0U},
-                     evacuation.changed_at}));
+                     evacuation.changed_at, evacuation.switched_at}));
   }
   return list;
 }
@@ -24,10 +24,12 @@
   for (const json& item : list) {
     CborArrayReader fields(item);
     const std::string data_centre = fields.Text();
-    const bool is_active = fields.Number() != 0;
-    const std::uint64_t changed_at = fields.Number();
+    Evacuation evacuation;
+    evacuation.is_active = fields.Number() != 0;
+    evacuation.changed_at = fields.Number();
+    evacuation.switched_at = fields.Number();
     if (!fields.ok() || !fields.AtEnd()) return std::nullopt;
-    if (!table.Set(data_centre, is_active, changed_at)) return std::nullopt;
+    if (!table.Restore(data_centre, evacuation)) return std::nullopt;
   }
   return table;
 }
--- a/src/evacuation_encoding.h
+++ b/src/evacuation_encoding.h
@@ -2,7 +2,7 @@
 #define SARDINELEAD_SRC_EVACUATION_ENCODING_H_
 
 // The CBOR form of an EvacuationTable, in snapshots of the register and in the
-// feed: an array of [data centre, 1 if evacuated, log index of the change].
+// feed: an array of [data centre, 1 if evacuated, changed_at, switched_at].
 
 #include <nlohmann/json.hpp>
 #include <optional>
--- a/src/evacuation_filter.cc
+++ b/src/evacuation_filter.cc
@@ -36,7 +36,7 @@
 EvacuationFilter::Times EvacuationFilter::StartedTimes(
     const EvacuationReport& report, const std::string& data_centre,
     TimePoint now) const {
-  if (m_table.IsEvacuated(data_centre)) return m_times.at(data_centre);
+  if (IsUnchanged(report, data_centre)) return m_times.at(data_centre);
   const auto age = AgeOf(report, data_centre);
   if (!age) return {};
   return {now - *age, std::nullopt};
@@ -48,16 +48,25 @@
 EvacuationFilter::Times EvacuationFilter::FinishedTimes(
     const EvacuationReport& report, const std::string& data_centre,
     TimePoint covered_time) const {
-  const auto known = m_table.entries().find(data_centre);
-  const bool is_known =
-      known != m_table.entries().end() && !known->second.is_active &&
-      known->second.changed_at == report.table.ChangedAt(data_centre);
-  if (is_known) return m_times.at(data_centre);
+  if (IsUnchanged(report, data_centre)) return m_times.at(data_centre);
+  const bool was_evacuated =
+      report.table.entries().at(data_centre).switched_at != 0;
+  if (!was_evacuated) return {};
   if (m_table.version() != 0) return {std::nullopt, covered_time};
   const Duration age = AgeOf(report, data_centre).value_or(Duration{0});
   return {std::nullopt, covered_time - age};
 }
 
+// Whether the last order that had an effect is known already. Repeated orders
+// have none.
+bool EvacuationFilter::IsUnchanged(const EvacuationReport& report,
+                                   const std::string& data_centre) const {
+  const auto known = m_table.entries().find(data_centre);
+  return known != m_table.entries().end() &&
+         known->second.switched_at ==
+             report.table.entries().at(data_centre).switched_at;
+}
+
 std::optional<double> EvacuationFilter::AvoidedShare(
     const std::string& data_centre, TimePoint now) const {
   if (!m_table.IsEvacuated(data_centre)) return std::nullopt;
--- a/tests/evacuation_filter_test.cc
+++ b/tests/evacuation_filter_test.cc
@@ -9,10 +9,11 @@
 
 constexpr Duration kShift = std::chrono::milliseconds(1000);
 
-// Orders for data centre a.
+// The last order for data centre a, which had the other state before.
 EvacuationReport MakeReport(bool is_active, std::uint64_t log_index,
                             std::optional<Duration> age = {}) {
   EvacuationReport report;
+  if (!is_active) report.table.Set("a", true, log_index - 1);
   report.table.Set("a", is_active, log_index);
   if (age) report.ages["a"] = *age;
   return report;
@@ -35,7 +36,9 @@
     m_filter.Set(MakeReport(true, 5, milliseconds(250)), m_now, m_now);
     AssertShare(0.25);
     m_now += milliseconds(500);
-    m_filter.Set(MakeReport(true, 9, Duration{0}), m_now, m_now);
+    EvacuationReport resent = MakeReport(true, 5, Duration{0});
+    resent.table.Set("a", true, 9);
+    CPPUNIT_ASSERT(m_filter.Set(resent, m_now, m_now));
     CPPUNIT_ASSERT(!m_filter.Set(MakeReport(false, 7), m_now, m_now));
     AssertShare(0.75);
     m_now += milliseconds(500);
@@ -60,6 +63,12 @@
     other.table.Set("b", true, 11);
     m_filter.Set(other, m_now, m_now + kShift);
     CPPUNIT_ASSERT(!m_filter.IsCold("a", m_now + milliseconds(1)));
+    // Nor does a finish that is resent, or one without an evacuation.
+    other.table.Set("a", false, 12);
+    other.table.Set("c", false, 13);
+    CPPUNIT_ASSERT(m_filter.Set(other, m_now, m_now + kShift));
+    CPPUNIT_ASSERT(!m_filter.IsCold("a", m_now + milliseconds(1)));
+    CPPUNIT_ASSERT(!m_filter.IsCold("c", m_now));
     // Guards against targets that look cold at each start of a balancer.
     m_filter = EvacuationFilter(kShift);
     m_filter.Set(MakeReport(false, 9, kShift), m_now, m_now);
@@ -103,6 +112,7 @@
     AddTarget(3, "10.0.0.3:80", 100, "orders", "b");
     AddTarget(4, "10.0.0.4:80", 100, "orders", "c");
     EvacuationReport report = MakeReport(true, 5);
+    report.table.Set("b", true, 6);
     m_balancer.SetEvacuations(report, m_now);
     report.table.Set("b", false, 9);
     m_balancer.SetEvacuations(report, m_now);
