Shorten long functions and share what stood twice

Some comments restated a name, used a figure of speech or needed another file to be understood, and the example in warm_up_grant.h did not match DivideQuota().

RankQueue's had_first_turn is now regular_begin, and PacketScheduler::Forget is RemoveFromIndex. Comments are rewritten. No behaviour, constant, test or name outside the process changes.

The soak was not run.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -219,7 +219,7 @@
         on_health_change;
     std::function<void(const FlowTiming& timing)> on_timing;
     // Whether this VM's link can carry a new flow of the route in time; if not,
-    // the flow is refused. Asked once for each flow that is about to be placed
+    // the flow is refused. Called once for each flow that is about to be placed
     // here. Empty if all flows are admitted.
     std::function<bool(const Route& route, TimePoint now)> admits = {};
     // A request of the route at this address was answered; it had this many
@@ -291,11 +291,12 @@
     bool is_closed = false;   // The caller has sent its last data.
     bool is_waiting = false;  // A request has no answer yet.
     bool is_counted = false;  // The placement counts the pending request.
-    // The flow's last packet has data that was not sent before, or opens it,
-    // and the placement counts the pending request since that packet.
+    // The flow's last packet has data that was not sent before, or opens it.
     bool is_first_send = false;
+    // The placement counts the pending request since that packet.
     bool is_counted_since = false;
-    // Packets that our queue dropped and that the caller has not sent again.
+    // Packets that the queue for the link dropped and that the caller has not
+    // sent again.
     std::uint8_t dropped_here = 0;
     std::uint32_t request_bytes = 0;  // Of the latest request, without copies.
     std::uint32_t acknowledged = 0;
--- a/include/sardinelead/evacuation_filter.h
+++ b/include/sardinelead/evacuation_filter.h
@@ -1,8 +1,8 @@
 #ifndef SARDINELEAD_EVACUATION_FILTER_H_
 #define SARDINELEAD_EVACUATION_FILTER_H_
 
-// What a balancer does about evacuated data centres: which share of new flows
-// avoids their targets, and which targets count as cold after the end of an
+// Decides for a balancer which share of new flows avoids the targets of
+// evacuated data centres, and which targets count as cold after the end of an
 // evacuation.
 //
 // The share rises linearly from 0 to 1 over `shift`, counted from the time at
--- a/include/sardinelead/queued_flows.h
+++ b/include/sardinelead/queued_flows.h
@@ -5,8 +5,7 @@
 //
 // While a packet waits there, the target cannot have got it, so neither the
 // caller's retransmissions nor the missing answer are evidence against the
-// target. Empty if nothing is queued, which every deployment without a paced
-// link always is.
+// target. Always empty in a deployment without a paced link.
 //
 // Performs no I/O and reads no clock. Not thread-safe. Each function costs one
 // hash lookup, or none if the object is empty.
--- a/include/sardinelead/warm_up_grant.h
+++ b/include/sardinelead/warm_up_grant.h
@@ -9,7 +9,8 @@
 // VMs know of each other:
 //
 //   WarmUpGrant grant{number, started_ms, {}};
-//   grant.shares = DivideQuota(WarmUpQuota(rate, limit), target, balancers);
+//   const std::uint32_t quota = WarmUpQuota(rate, limit);
+//   grant.shares = DivideQuota(quota, number, data_centre, candidates);
 //   grants.Add(grant);  // When it is decided; a later one changes nothing.
 //   const WarmUpGrant* decided = grants.Find(number, started_ms);
 //
--- a/include/sardinelead/warm_up_limiter.h
+++ b/include/sardinelead/warm_up_limiter.h
@@ -41,7 +41,7 @@
   // Every packet taken so far had been sent by `sent_at`. Must be called
   // regularly also while nothing is taken.
   void OnAllSent(TimePoint sent_at);
-  // Forgets targets that were sent no packet within the window.
+  // Removes targets that were sent no packet within the window.
   void RemoveIdle(TimePoint now);
 
   std::size_t target_count() const { return m_targets.size(); }  // NOLINT
--- a/soak/evacuation_check.h
+++ b/soak/evacuation_check.h
@@ -7,7 +7,7 @@
 // without faults of its own for kEvacuationLimit after the acknowledgement. It
 // stays in force there whatever fails later. A balancer that starts after that
 // follows it at once, unless a fault at the balancer prevents it from learning
-// the order. Faults at control processes are no excuse.
+// the order. Faults at control processes permit no exception.
 //
 // Not thread-safe.
 
--- a/soak/narrow_link.cc
+++ b/soak/narrow_link.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "link_units.h"
+
 namespace sardinelead::soak {
 namespace {
 
@@ -10,9 +12,9 @@
 constexpr std::size_t kDatagramHeaders = 28;  // IPv4 and UDP.
 constexpr std::size_t kPacketHeaders = 40;    // Of the packet and its target.
 
-Duration TransferTime(std::size_t bytes, double bytes_per_second) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-      static_cast<double>(bytes + kDatagramHeaders) / bytes_per_second));
+Duration DatagramTime(std::size_t bytes, double bytes_per_second) {
+  return TransferTime(static_cast<double>(bytes + kDatagramHeaders),
+                      bytes_per_second);
 }
 
 }  // namespace
@@ -23,10 +25,9 @@
   if (bytes_per_second <= 0) return now;
   const std::lock_guard<std::mutex> lock(m_mutex);
   const TimePoint begin = std::max(m_free_at, now);
-  const double waiting =
-      std::chrono::duration<double>(begin - now).count() * bytes_per_second;
+  const double waiting = Seconds(begin - now) * bytes_per_second;
   if (waiting > static_cast<double>(kDepth)) return std::nullopt;
-  m_free_at = begin + TransferTime(bytes, bytes_per_second);
+  m_free_at = begin + DatagramTime(bytes, bytes_per_second);
   return m_free_at;
 }
 
@@ -35,8 +36,8 @@
   const auto share = static_cast<Duration::rep>(scheduler.overdue_divisor);
   return scheduler.overdue_after +
          share *
-             TransferTime(kLargeRequest + kPacketHeaders, bytes_per_second) +
-         TransferTime(LinkModelSettings{}.burst_bytes, bytes_per_second) +
+             DatagramTime(kLargeRequest + kPacketHeaders, bytes_per_second) +
+         DatagramTime(LinkModelSettings{}.burst_bytes, bytes_per_second) +
          kMargin;
 }
 
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -28,6 +28,14 @@
   return Text(node) + ":" + std::to_string(port);
 }
 
+json DataCentresInOneRegion() {
+  json data_centres;
+  for (std::uint64_t i = 0; i < kDataCentres; ++i) {
+    data_centres[DataCentreName(i)] = "region";
+  }
+  return data_centres;
+}
+
 }  // namespace
 
 System::System(const SoakSettings& settings, SoakState* world)
@@ -107,15 +115,11 @@
     listen["ready"] = At(node, kReadinessPort);
   }
   const std::string folder = m_settings.folder + "/" + process.child->name();
-  json data_centres;  // All in one region.
-  for (std::uint64_t i = 0; i < kDataCentres; ++i) {
-    data_centres[DataCentreName(i)] = "region";
-  }
   json boot = {
       {"nodeName", process.child->name()},
       {"ip", Text(node)},
       {"zone", DataCentreName(node)},
-      {"zones", data_centres},
+      {"zones", DataCentresInOneRegion()},
       {"listen", listen},
       {"internalPorts", {kInternalPort, kMetricsPort}},
       {"seeds", seeds},
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -116,7 +116,7 @@
   }
 }
 
-bool RunSeed(std::uint64_t seed) {
+SoakSettings MakeSettings(std::uint64_t seed) {
   SoakSettings settings;
   settings.seed = seed;
   settings.programs = FLAGS_programs;
@@ -127,18 +127,58 @@
   settings.network = FLAGS_network;
   settings.edge_share = FLAGS_edge_share;
   settings.share_period = milliseconds(FLAGS_share_period_ms);
+  return settings;
+}
+
+// Whether faults or pauses of targets may delay answers.
+bool IsDisturbed() { return FLAGS_faults || FLAGS_target_pauses; }
+
+void ApplyFlags(SoakState* world) {
+  world->link_bytes_per_second = static_cast<double>(FLAGS_link_kbit_s) * 125;
+  if (FLAGS_link_kbit_s > 0 && !IsDisturbed()) {
+    world->ledger.RequireAnswersWithin(
+        NarrowLink::LongestWait(world->link_bytes_per_second));
+  }
+  world->do_targets_pause = FLAGS_target_pauses;
+  world->config_plan.idle_routes = FLAGS_idle_routes;
+  world->config_plan.max_interval = milliseconds(FLAGS_change_interval_ms);
+}
+
+void StartActors(SoakState* world, std::uint64_t seed,
+                 std::vector<std::thread>* actors) {
+  for (int i = 0; i < FLAGS_callers; ++i) {
+    const std::uint32_t address = (world->edges.front() & 0xffff0000) + 0x401 +
+                                  static_cast<std::uint32_t>(i);
+    actors->emplace_back([world, address, i, seed] {
+      RunCaller(world, address, seed * 100 + static_cast<std::uint64_t>(i));
+    });
+  }
+  actors->emplace_back([world, seed] { RunOperator(world, seed); });
+  if (FLAGS_evacuations) {
+    actors->emplace_back([world, seed] { RunEvacuator(world, seed); });
+  }
+  actors->emplace_back([world, seed] { RunReader(world, seed); });
+  actors->emplace_back([world, seed] { RunOddWriter(world, seed); });
+}
+
+void CheckServedShare(SoakState* world) {
+  const auto [served, failed] = world->ledger.TakeCounts();
+  const double share =
+      static_cast<double>(served) /
+      static_cast<double>(std::max<std::uint64_t>(served + failed, 1));
+  if (share < kMinServedShare) {
+    world->ledger.AddViolation("only " + std::to_string(served) + " of " +
+                               std::to_string(served + failed) +
+                               " requests were served after all was healed");
+  }
+}
+
+bool RunSeed(std::uint64_t seed) {
+  const SoakSettings settings = MakeSettings(seed);
   std::filesystem::remove_all(settings.folder);
   std::printf("seed %llu\n", static_cast<unsigned long long>(seed));  // NOLINT
   SoakState world;
-  world.link_bytes_per_second = static_cast<double>(FLAGS_link_kbit_s) * 125;
-  const bool is_disturbed = FLAGS_faults || FLAGS_target_pauses;
-  if (FLAGS_link_kbit_s > 0 && !is_disturbed) {
-    world.ledger.RequireAnswersWithin(
-        NarrowLink::LongestWait(world.link_bytes_per_second));
-  }
-  world.do_targets_pause = FLAGS_target_pauses;
-  world.config_plan.idle_routes = FLAGS_idle_routes;
-  world.config_plan.max_interval = milliseconds(FLAGS_change_interval_ms);
+  ApplyFlags(&world);
   std::vector<std::thread> actors;
   std::mt19937_64 random(seed + 1);
   {
@@ -149,19 +189,7 @@
     }
     actors.emplace_back([&world, seed] { RunRouters(&world, seed); });
     RunFor(&system, seconds(2), false, &random);
-    for (int i = 0; i < FLAGS_callers; ++i) {
-      const std::uint32_t address = (world.edges.front() & 0xffff0000) + 0x401 +
-                                    static_cast<std::uint32_t>(i);
-      actors.emplace_back([&world, address, i, seed] {
-        RunCaller(&world, address, seed * 100 + static_cast<std::uint64_t>(i));
-      });
-    }
-    actors.emplace_back([&world, seed] { RunOperator(&world, seed); });
-    if (FLAGS_evacuations) {
-      actors.emplace_back([&world, seed] { RunEvacuator(&world, seed); });
-    }
-    actors.emplace_back([&world, seed] { RunReader(&world, seed); });
-    actors.emplace_back([&world, seed] { RunOddWriter(&world, seed); });
+    StartActors(&world, seed, &actors);
     RunFor(&system, seconds(FLAGS_seconds), FLAGS_faults, &random);
     if (FLAGS_faults) system.KillAllControls();
     system.ClearFaults();
@@ -169,18 +197,8 @@
     RunFor(&system, kRecovery, false, &random);
     world.ledger.TakeCounts();
     RunFor(&system, kCheckTime, false, &random);
-    const auto [served, failed] = world.ledger.TakeCounts();
-    const double share =
-        static_cast<double>(served) /
-        static_cast<double>(std::max<std::uint64_t>(served + failed, 1));
-    if (share < kMinServedShare) {
-      world.ledger.AddViolation("only " + std::to_string(served) + " of " +
-                                std::to_string(served + failed) +
-                                " requests were served after all was healed");
-    }
-    if (!is_disturbed) {
-      CheckNoTargetWasLost(settings.folder, &world);
-    }
+    CheckServedShare(&world);
+    if (!IsDisturbed()) CheckNoTargetWasLost(settings.folder, &world);
     system.EndShares();
     CheckReadBack(&world);
     CheckMetrics(&world);
--- a/src/control_api.cc
+++ b/src/control_api.cc
@@ -101,7 +101,7 @@
   return EvacuationCall{name->get<std::string>(), active->get<bool>()};
 }
 
-// A conflict with another order is no refusal for good: the caller resends.
+// A conflict with another order is not a final refusal: the caller may resend.
 HttpResponse EvacuationResponse(const Outcome& outcome) {
   const bool may_resend = outcome.kind == OutcomeKind::kRefused &&
                           outcome.error.code == ErrorCode::kVersionConflict;
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -172,8 +172,8 @@
   const Route& route = *m_routes.Find(packet.flow.service);
   const auto& known = TargetsInPool(route.SelectPool(packet.flow.Hash()), now);
   const auto& targets = WithoutWithheld(known, now);
-  // The link expects the request of each flow that it admits, so it is not
-  // asked about flows that no target can take.
+  // Each admitted flow counts towards the expected load of the link, so flows
+  // that no target can take are rejected before.
   const bool is_refused_here = m_hooks.admits &&
                                FlowPlacement::HasCandidate(targets) &&
                                !m_hooks.admits(route, now);
--- a/src/flow_placement.cc
+++ b/src/flow_placement.cc
@@ -76,7 +76,8 @@
   double local_waiting = 0;
   double local_slots = 0;
   for (const PlacementTarget& target : targets) {
-    // Neither load nor probes nor the last resort bring a flow there.
+    // Such a target is not used even if all others are loaded or unresponsive,
+    // and is not probed.
     if (IsAvoided(target, random)) continue;
     TargetStats& view = m_views[target.number];
     if (IsSuspect(target.number, now)) {
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -303,8 +303,39 @@
   std::shared_ptr<std::uint16_t> local_port = std::make_shared<std::uint16_t>();
   RunningServer server;
   std::unique_ptr<restinio::http_server_t<Traits>> server_on_context;
+
+  restinio::server_settings_t<Traits> MakeServerSettings(Endpoint* bound);
 };
 
+// Moves the router into the result. The port is stored in `bound` once it is
+// known, so `bound` must outlive the start of the server.
+restinio::server_settings_t<Traits> HttpServer::Impl::MakeServerSettings(
+    Endpoint* bound) {
+  const auto limits = restinio::incoming_http_msg_limits_t{}
+                          .max_url_size(kMaxUrlBytes)
+                          .max_field_name_size(kMaxFieldNameBytes)
+                          .max_field_value_size(kMaxFieldValueBytes)
+                          .max_field_count(kMaxHeaderFields)
+                          .max_body_size(settings.max_body_bytes);
+  restinio::server_settings_t<Traits> server_settings;
+  server_settings.address(settings.listen.address.ToString())
+      .port(settings.listen.port)
+      .protocol(settings.listen.address.IsV4()
+                    ? restinio::asio_ns::ip::tcp::v4()
+                    : restinio::asio_ns::ip::tcp::v6())
+      .read_next_http_message_timelimit(settings.read_deadline)
+      .write_http_response_timelimit(settings.write_deadline)
+      .handle_request_timeout(settings.handle_deadline)
+      .incoming_http_msg_limits(limits)
+      .max_parallel_connections(settings.max_connections)
+      .acceptor_post_bind_hook([this, bound](const auto& acceptor) {
+        bound->port = acceptor.local_endpoint().port();
+        *local_port = bound->port;
+      })
+      .request_handler(std::move(router));
+  return server_settings;
+}
+
 HttpServer::HttpServer(const HttpServerSettings& settings)
     : m_impl(std::make_unique<Impl>()) {
   m_impl->settings = settings;
@@ -359,28 +390,7 @@
         return restinio::request_accepted();
       });
   Endpoint bound = impl.settings.listen;
-  const auto limits = restinio::incoming_http_msg_limits_t{}
-                          .max_url_size(kMaxUrlBytes)
-                          .max_field_name_size(kMaxFieldNameBytes)
-                          .max_field_value_size(kMaxFieldValueBytes)
-                          .max_field_count(kMaxHeaderFields)
-                          .max_body_size(impl.settings.max_body_bytes);
-  restinio::server_settings_t<Traits> settings;
-  settings.address(impl.settings.listen.address.ToString())
-      .port(impl.settings.listen.port)
-      .protocol(impl.settings.listen.address.IsV4()
-                    ? restinio::asio_ns::ip::tcp::v4()
-                    : restinio::asio_ns::ip::tcp::v6())
-      .read_next_http_message_timelimit(impl.settings.read_deadline)
-      .write_http_response_timelimit(impl.settings.write_deadline)
-      .handle_request_timeout(impl.settings.handle_deadline)
-      .incoming_http_msg_limits(limits)
-      .max_parallel_connections(impl.settings.max_connections)
-      .acceptor_post_bind_hook([&](const auto& acceptor) {
-        bound.port = acceptor.local_endpoint().port();
-        *impl.local_port = bound.port;
-      })
-      .request_handler(std::move(impl.router));
+  auto settings = impl.MakeServerSettings(&bound);
   try {
     if (context != nullptr) {
       impl.server_on_context =
--- a/src/link_admission.cc
+++ b/src/link_admission.cc
@@ -3,20 +3,17 @@
 #include <algorithm>
 #include <utility>
 
+#include "link_units.h"
+
 namespace sardinelead {
 namespace {
 
-// A bound on memory; with more routes, the averages start anew.
+// A bound on memory; all averages are discarded when it is reached.
 constexpr std::size_t kMaxRoutes = 10'000;
 // A request needs at least this multiple of its transfer time before its flow
 // may be refused: half of it is then spent waiting.
 constexpr int kMinTransferTimes = 2;
 
-Duration TransferTime(double bytes, double bytes_per_second) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(bytes / bytes_per_second));
-}
-
 Duration ObjectiveOf(const Route& route) {
   return std::chrono::milliseconds(route.objective_ms != 0 ? route.objective_ms
                                                            : route.timeout_ms);
--- a/src/link_estimate.cc
+++ b/src/link_estimate.cc
@@ -2,15 +2,9 @@
 
 #include <algorithm>
 
-namespace sardinelead {
-
-namespace {
+#include "link_units.h"
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-}  // namespace
+namespace sardinelead {
 
 void ByteHistory::Add(double bytes, TimePoint now) {
   const Entry last = m_entries[m_last];
@@ -117,7 +111,8 @@
          received <= kMaxReceived * m_capacity * seconds;
 }
 
-// Takes a constant excess for a queue in the first windows only.
+// Assumes a queue outside this process only in the first windows of a constant
+// excess.
 bool LinkEstimate::MayBeQueue(Duration excess) {
   ++m_flat_windows;
   if (m_flat_windows <= kMaxFlatDecreases) {
@@ -132,7 +127,7 @@
 Duration LinkEstimate::PauseFor(const Sample& sample, Duration excess,
                                 TimePoint now) const {
   const double bytes = m_sent.TotalAt(now) - m_sent.TotalAt(sample.began);
-  const Duration queue(static_cast<Duration::rep>(bytes / m_rate * 1e9));
+  const Duration queue = TransferTime(bytes, m_rate);
   const Duration window = now - m_last.ended;
   return std::min({queue, excess, window / 2, kMaxPause});
 }
--- a/src/link_estimate.h
+++ b/src/link_estimate.h
@@ -5,11 +5,11 @@
 // round trips through it.
 //
 // A queue outside this process raises every round trip. The excess of a round
-// trip is what it exceeds the long-term minimum of its peer by. Each window of
-// several samples is represented by the one with the least excess: a single
-// sample may have another cause, and one idle moment restores the minimum,
-// hence bursts shorter than the window are never taken for a narrow link. A
-// window is no evidence if the link was hardly in use, or if packets were
+// trip is the time by which it exceeds the long-term minimum of its peer. Each
+// window of several samples is represented by the one with the least excess: a
+// single sample may have another cause, and one idle moment restores the
+// minimum, so bursts shorter than the window are never taken for a narrow link.
+// A window is no evidence if the link was hardly in use, or if packets were
 // received at almost its capacity, since round trips then wait in the other
 // direction.
 //
@@ -56,16 +56,19 @@
   // discarded.
   static constexpr Duration kMaxWindow = std::chrono::seconds(2);
   static constexpr int kMinSamples = 8;
-  // A window in which less of the estimate was used is no evidence.
+  // A window in which less than this share of the estimate was used is no
+  // evidence.
   static constexpr double kMinUse = 0.25;
-  // Nor is one in which more of the capacity was received.
+  // Nor is one in which more than this share of the capacity was received.
   static constexpr double kMaxReceived = 0.85;
-  // Growth of the excess between windows that is a change.
+  // A smaller difference of the excess between windows is no change.
   static constexpr Duration kMinGrowth = std::chrono::milliseconds(15);
   static constexpr double kMaxDecrease = 0.5;  // Factor of one decrease.
+  // Factor of a decrease for a constant excess.
   static constexpr double kFlatDecrease = 0.85;
   static constexpr int kMaxFlatDecreases = 2;
   static constexpr int kMaxFlatWindows = 6;
+  // Of the capacity; the lowest estimate.
   static constexpr double kMinShare = 0.1;
   // Of the capacity per second, beginning kIncreaseDelay after evidence.
   static constexpr double kIncreasePerSecond = 0.04;
@@ -113,6 +116,7 @@
                                    TimePoint now);
   Duration Evaluate(const Sample& sample, Duration tolerated, TimePoint now);
   bool IsEvidence(const Sample& sample, TimePoint now) const;
+  // Counts a window with a constant excess, and may decrease the rate.
   bool MayBeQueue(Duration excess);
   void Decrease(double rate);
   Duration PauseFor(const Sample& sample, Duration excess, TimePoint now) const;
@@ -125,8 +129,9 @@
   Sample m_last;  // Of the last complete window.
   TimePoint m_increased_at;
   std::unordered_map<std::uint64_t, PeerMinimum> m_peers;
+  // The excess that is not attributed to a queue, as of peers that became slow.
   Duration m_usual_excess{0};
-  int m_flat_windows = 0;
+  int m_flat_windows = 0;  // Successive ones with a constant excess.
   std::uint64_t m_decreases = 0;
 };
 
--- a/src/link_model.cc
+++ b/src/link_model.cc
@@ -2,23 +2,16 @@
 
 #include <algorithm>
 
-namespace sardinelead {
-
-namespace {
+#include "link_units.h"
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-}  // namespace
+namespace sardinelead {
 
 LinkModel::LinkModel(const LinkModelSettings& settings)
     : m_settings(settings), m_estimate(settings.capacity) {}
 
 Duration LinkModel::TimeFor(double bytes) const {
   if (!IsLimited()) return Duration(0);
-  const double paced = rate() * (1 - m_settings.reserve);
-  return Duration(static_cast<Duration::rep>(bytes / paced * 1e9));
+  return TransferTime(bytes, rate() * (1 - m_settings.reserve));
 }
 
 void LinkModel::OnSent(std::size_t bytes, TimePoint now) {
--- a/src/link_model.h
+++ b/src/link_model.h
@@ -5,7 +5,7 @@
 // what the link has carried, and when the next datagram may follow.
 //
 // Everything that is sent is charged at the paced rate, which is the estimated
-// rate less a reserve for traffic that nobody charges. At most `burst_bytes`
+// rate less a reserve for traffic that is not charged. At most `burst_bytes`
 // are handed over in advance. Without a capacity, nothing is ever held.
 //
 // The estimate starts at the capacity and follows a link that becomes narrower;
@@ -59,7 +59,7 @@
   // A datagram that was received through the link.
   void OnReceived(std::size_t bytes, TimePoint now);
   // A round trip through the link to `peer`, measured at its end. Peers differ
-  // in their distance, hence each has a minimum of its own.
+  // in their distance, so each has a minimum of its own.
   void OnRoundTrip(std::uint64_t peer, Duration round_trip, TimePoint now);
   void OnRoundTrip(Duration round_trip, TimePoint now) {
     OnRoundTrip(0, round_trip, now);
--- a/src/paced_sender.cc
+++ b/src/paced_sender.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "link_units.h"
+
 namespace sardinelead {
 namespace {
 
@@ -71,7 +73,8 @@
   const Route* route = m_balancer->routes().Find(packet.flow.service);
   ScheduledPacket scheduled;
   scheduled.flow = packet.flow;
-  // An acknowledgement without data must not pass for a copy of an earlier one.
+  // An acknowledgement without data must not be dropped as a copy of an earlier
+  // one.
   const bool is_bare = packet.length == 0 && !packet.opens;
   scheduled.sequence = is_bare ? packet.acknowledged : packet.sequence;
   scheduled.length = packet.length;
@@ -160,7 +163,7 @@
       packet.is_urgent
           ? 0
           : 1 + std::min<std::size_t>(packet.priority, kTimedPriorities);
-  m_waits[rank]->Observe(std::chrono::duration<double>(waited).count());
+  m_waits[rank]->Observe(Seconds(waited));
   if (IsReported(packet)) m_balancer->OnTransmitted(packet.flow, m_now);
 }
 
--- a/src/paced_sender_metrics.cc
+++ b/src/paced_sender_metrics.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "link_units.h"
 #include "paced_sender.h"
 
 namespace sardinelead {
@@ -65,8 +66,7 @@
   // The wait of the lowest rank is the time until the link is idle.
   const Duration backlog =
       m_scheduler.ExpectedWait(std::numeric_limits<std::uint32_t>::max(), now);
-  set("sardinelead_link_backlog_seconds",
-      std::chrono::duration<double>(backlog).count());
+  set("sardinelead_link_backlog_seconds", Seconds(backlog));
   set("sardinelead_link_capacity_bytes_per_second", m_link.capacity());
   set("sardinelead_link_rate_bytes_per_second", m_link.rate());
   set("sardinelead_link_queued_packets",
--- a/src/packet_scheduler.cc
+++ b/src/packet_scheduler.cc
@@ -64,7 +64,7 @@
                                       TimePoint now) {
   const PacketIdentity identity(packet);
   if (m_ranks.empty() || m_waiting.count(identity) == 0) return false;
-  // A packet that will be dropped must not take its copy with it.
+  // A copy of a packet that will expire unsent must not be dropped.
   DropFirstOf(packet.flow, ScheduleDropReason::kExpired,
               [this, now](const WaitingPacket& waiting) {
                 return IsExpired(waiting, now);
@@ -124,8 +124,8 @@
 }
 
 // Returns the rank below `rank` whose oldest packet is overdue and has waited
-// for the longest time, if the share of overdue packets allows one now. Urgent
-// packets do not give way.
+// for the longest time, if the share of overdue packets allows one now. None
+// is sent before urgent packets.
 PacketScheduler::Ranks::iterator PacketScheduler::FindOverdueBelow(
     PacketRank rank, TimePoint now) {
   auto found = m_ranks.end();
@@ -154,7 +154,7 @@
                       size - packet->head_size);
   m_hooks.send(packet->to, head, body);
   if (m_hooks.on_sent) m_hooks.on_sent(packet->packet, now - packet->since);
-  Forget(*packet);
+  RemoveFromIndex(*packet);
   chosen.rank->second.RemoveSent(packet);
   if (chosen.rank->second.empty()) m_ranks.erase(chosen.rank);
 }
@@ -198,7 +198,7 @@
 void PacketScheduler::Drop(RankQueue* rank, WaitingPacket* packet,
                            ScheduleDropReason reason) {
   ReportDropped(packet->packet, reason);
-  Forget(*packet);
+  RemoveFromIndex(*packet);
   rank->RemoveDropped(packet);
 }
 
@@ -209,7 +209,7 @@
   return now - packet.since > limit;
 }
 
-void PacketScheduler::Forget(const WaitingPacket& packet) {
+void PacketScheduler::RemoveFromIndex(const WaitingPacket& packet) {
   m_waiting.erase(PacketIdentity(packet.packet));
   m_bytes -= packet.datagram.size();
 }
--- a/src/packet_scheduler.h
+++ b/src/packet_scheduler.h
@@ -127,7 +127,7 @@
   void DropFirstOf(const FlowKey& flow, ScheduleDropReason reason,
                    Predicate is_dropped);
   bool IsExpired(const WaitingPacket& packet, TimePoint now) const;
-  void Forget(const WaitingPacket& packet);
+  void RemoveFromIndex(const WaitingPacket& packet);
   void ReportDropped(const ScheduledPacket& packet, ScheduleDropReason reason);
   void CountSent(std::size_t size, TimePoint now);
 
@@ -139,7 +139,8 @@
   std::size_t m_bytes = 0;
   TimePoint m_now;
   // At most 0. Overdue packets may be sent before those of higher ranks if it
-  // is 0; what they take is paid back by the bytes of other packets.
+  // is 0. Each packet that is sent adds its size; an overdue one deducts
+  // `overdue_divisor` - 1 times its size.
   std::int64_t m_overdue_credit = 0;
 };
 
--- a/src/rank_queue.cc
+++ b/src/rank_queue.cc
@@ -43,10 +43,10 @@
   if (node != nullptr) return node;
   const bool has_first_turn = TakeFirstTurn(parent);
   auto& siblings = parent->children;
-  const auto self = siblings.emplace(has_first_turn ? parent->had_first_turn
-                                                    : siblings.end());
-  if (!has_first_turn && parent->had_first_turn == siblings.end()) {
-    parent->had_first_turn = self;
+  const auto self =
+      siblings.emplace(has_first_turn ? parent->regular_begin : siblings.end());
+  if (!has_first_turn && parent->regular_begin == siblings.end()) {
+    parent->regular_begin = self;
   }
   node = &*self;
   node->key = key;
@@ -62,7 +62,7 @@
 
 bool RankQueue::TakeFirstTurn(TurnNode* parent) const {
   if (m_settings.first_turn_bytes == 0) return false;
-  if (parent->had_first_turn == parent->children.end()) return true;
+  if (parent->regular_begin == parent->children.end()) return true;
   if (parent->first_turns >= kMaxFirstTurns) return false;
   ++parent->first_turns;
   return true;
@@ -124,7 +124,7 @@
 void RankQueue::RemoveNode(TurnNode* node) {
   TurnNode* parent = node->parent;
   if (!node->is_in_first_turn) parent->first_turns = 0;
-  if (parent->had_first_turn == node->self) ++parent->had_first_turn;
+  if (parent->regular_begin == node->self) ++parent->regular_begin;
   m_nodes[node->level].erase(node->key);
   parent->children.erase(node->self);
 }
@@ -134,10 +134,10 @@
   auto& siblings = parent->children;
   if (!node->is_in_first_turn) parent->first_turns = 0;
   node->is_in_first_turn = false;
-  if (parent->had_first_turn == node->self) ++parent->had_first_turn;
+  if (parent->regular_begin == node->self) ++parent->regular_begin;
   siblings.splice(siblings.end(), siblings, node->self);
-  if (parent->had_first_turn == siblings.end()) {
-    parent->had_first_turn = node->self;
+  if (parent->regular_begin == siblings.end()) {
+    parent->regular_begin = node->self;
   }
   while (node->turn_left <= 0) node->turn_left += TurnOf(node->level);
 }
--- a/src/rank_queue.h
+++ b/src/rank_queue.h
@@ -51,8 +51,8 @@
   bool is_in_first_turn = false;
 
   std::list<TurnNode> children;  // Empty in a flow. The front has the turn.
-  // The first child that has had its first turn, or the end.
-  std::list<TurnNode>::iterator had_first_turn = children.end();
+  // The first child that is not in its first turn, or the end.
+  std::list<TurnNode>::iterator regular_begin = children.end();
   // Children that went first since one of the others ended its turn.
   int first_turns = 0;
   std::list<WaitingPacket> packets;  // Of a flow.
@@ -80,7 +80,7 @@
   WaitingPacket* Oldest();
   // The first waiting packet of a flow; nullptr if there is none.
   WaitingPacket* FirstOf(const FlowKey& flow);
-  // Removes a packet that was sent, at the expense of its turns.
+  // Removes a packet that was sent, and charges it to the turns of its nodes.
   void RemoveSent(WaitingPacket* packet);
   void RemoveDropped(WaitingPacket* packet);
 
@@ -97,7 +97,8 @@
   TurnNode* FindOrAddChild(TurnNode* parent, std::size_t level,
                            const FlowKey& flow);
   TurnNode* Erase(WaitingPacket* packet);
-  // Whether a new child of `parent` goes before those that wait already.
+  // Returns whether a new child of `parent` goes before those that wait
+  // already, and counts it.
   bool TakeFirstTurn(TurnNode* parent) const;
   void RemoveNode(TurnNode* node);
   void EndTurn(TurnNode* node);
--- a/src/register_snapshot.cc
+++ b/src/register_snapshot.cc
@@ -1,4 +1,4 @@
-// The snapshot of the register's state.
+// The encoding of a RegisterState in snapshots.
 
 #include <utility>
 
@@ -81,14 +81,37 @@
   auto parsed = ConfigurationFromJson(*configuration);
   if (!parsed) return std::nullopt;
   state.m_configuration = std::make_shared<Configuration>(std::move(*parsed));
+  bool is_valid = state.DecodeMembers(reader.Array());
+  is_valid = state.DecodeOutcomes(reader.Array()) && is_valid;
+  is_valid = state.DecodeHistory(reader.Array()) && is_valid;
+  CborArrayReader evicted(reader.Array());
+  if (!evicted.AtEnd()) state.m_max_evicted_base = evicted.Number();
+  state.m_document.version = ConfigVersion{reader.Number()};
+  state.m_document.content = std::make_shared<const Bytes>(reader.Blob());
+  if (!reader.AtEnd()) {
+    is_valid = state.DecodeLaterParts(reader.Array()) && is_valid;
+  }
+  if (!reader.ok() || !reader.AtEnd() || !is_valid) return std::nullopt;
+  return state;
+}
+
+// The functions below read one element of a snapshot each, and return whether
+// it has the form that Encode() gives it.
+
+bool RegisterState::DecodeMembers(const json& list) {
   bool is_valid = true;
-  for (const json& item : reader.Array()) {
+  for (const json& item : list) {
     CborArrayReader fields(item);
     const NodeId member{static_cast<std::uint32_t>(fields.Number())};
-    state.m_members[member] = fields.Number();
+    m_members[member] = fields.Number();
     is_valid = is_valid && fields.ok();
   }
-  for (const json& item : reader.Array()) {
+  return is_valid;
+}
+
+bool RegisterState::DecodeOutcomes(const json& list) {
+  bool is_valid = true;
+  for (const json& item : list) {
     CborArrayReader fields(item);
     const Bytes raw_key = fields.Blob();
     const std::string key(raw_key.begin(), raw_key.end());
@@ -97,9 +120,13 @@
     stored.base = fields.Number();
     stored.outcome = ReadOutcome(&fields);
     is_valid = is_valid && fields.ok();
-    state.StoreOutcome(key, std::move(stored));
+    StoreOutcome(key, std::move(stored));
   }
-  for (const json& item : reader.Array()) {
+  return is_valid;
+}
+
+bool RegisterState::DecodeHistory(const json& list) {
+  for (const json& item : list) {
     CborArrayReader fields(item);
     const ConfigVersion version{fields.Number()};
     std::string operator_name = fields.Text();
@@ -107,28 +134,24 @@
     const std::size_t size = fields.Number();
     auto patch = content == nullptr ? Fail(ErrorCode::kMalformed, "no patch")
                                     : PatchFromJson(*content);
-    is_valid = is_valid && fields.ok() && patch;
-    if (!is_valid) break;
-    state.m_history.push_back(
-        {version, std::move(operator_name), std::move(*patch)});
-    state.m_history_record_bytes.push_back(size);
-    state.m_history_bytes += size;
+    if (!fields.ok() || !patch) return false;
+    m_history.push_back({version, std::move(operator_name), std::move(*patch)});
+    m_history_record_bytes.push_back(size);
+    m_history_bytes += size;
   }
-  CborArrayReader evicted(reader.Array());
-  if (!evicted.AtEnd()) state.m_max_evicted_base = evicted.Number();
-  state.m_document.version = ConfigVersion{reader.Number()};
-  state.m_document.content = std::make_shared<const Bytes>(reader.Blob());
-  if (!reader.AtEnd()) {
-    CborArrayReader later(reader.Array());
-    auto evacuations = EvacuationsFromJson(later.Array());
-    std::optional<WarmUpGrants> grants = WarmUpGrants{};
-    if (!later.AtEnd()) grants = WarmUpGrantsFromJson(later.Array());
-    is_valid = is_valid && evacuations && grants && later.ok() && later.AtEnd();
-    if (evacuations) state.m_evacuations = std::move(*evacuations);
-    if (grants) state.m_warm_up_grants = std::move(*grants);
-  }
-  if (!reader.ok() || !reader.AtEnd() || !is_valid) return std::nullopt;
-  return state;
+  return true;
+}
+
+bool RegisterState::DecodeLaterParts(const json& list) {
+  CborArrayReader later(list);
+  auto evacuations = EvacuationsFromJson(later.Array());
+  std::optional<WarmUpGrants> grants = WarmUpGrants{};
+  if (!later.AtEnd()) grants = WarmUpGrantsFromJson(later.Array());
+  const bool is_valid = evacuations && grants && later.ok() && later.AtEnd();
+  if (!is_valid) return false;
+  m_evacuations = std::move(*evacuations);
+  m_warm_up_grants = std::move(*grants);
+  return true;
 }
 
 }  // namespace sardinelead
--- a/src/register_state.h
+++ b/src/register_state.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -92,6 +93,10 @@
   Outcome ExecuteWarmUpGrant(const Command& command);
   bool HasGrants(const Command& command) const;
   Outcome ExecuteEvacuation(const Command& command);
+  bool DecodeMembers(const nlohmann::json& list);
+  bool DecodeOutcomes(const nlohmann::json& list);
+  bool DecodeHistory(const nlohmann::json& list);
+  bool DecodeLaterParts(const nlohmann::json& list);
   Outcome Refused(ErrorCode code, std::string message) const;
   Outcome Accepted() const;
   // Evicts outcomes until there is room for one more. Returns false if no
--- a/src/scheduled_packet.h
+++ b/src/scheduled_packet.h
@@ -1,7 +1,8 @@
 #ifndef SARDINELEAD_SRC_SCHEDULED_PACKET_H_
 #define SARDINELEAD_SRC_SCHEDULED_PACKET_H_
 
-// A packet as the packet scheduler sees it, and what identifies its copies.
+// The fields of a packet that the packet scheduler needs, the packet's rank,
+// and the identity by which copies of it are recognized.
 
 #include <cstddef>
 #include <cstdint>
@@ -10,11 +11,11 @@
 
 namespace sardinelead {
 
-struct ScheduledPacket {  // What the scheduler needs to know about a packet.
+struct ScheduledPacket {
   FlowKey flow;
   std::uint32_t sequence = 0;  // With `length` and `flags`, identifies copies.
   std::uint16_t length = 0;    // Payload bytes.
-  std::uint8_t flags = 0;
+  std::uint8_t flags = 0;      // Opaque to the scheduler.
   bool is_urgent = false;      // Opening packet, no data, or a reset.
   std::uint32_t priority = 0;  // The route's priority; 0 is the highest.
   Duration max_wait{0};  // Dropped after a longer wait; 0: the general limit.
--- a/src/stall_guard.h
+++ b/src/stall_guard.h
@@ -9,8 +9,8 @@
 //   guard.Observe(clocks);                            // At each tick.
 //   if (guard.IsAgeUnknown(clocks)) return refused;   // For what is read now.
 //
-// The steady clock does not advance while the VM is suspended, hence the second
-// clock. Sans-I/O; not thread-safe.
+// The steady clock does not advance while the VM is suspended, so a
+// second clock is read. Sans-I/O; not thread-safe.
 
 #include <cstdint>
 
@@ -39,7 +39,8 @@
   void Observe(const ClockReadings& now);
   // Whether something read now may have waited during a stall.
   bool IsAgeUnknown(const ClockReadings& now);
-  // Number of stalls so far, to tell whether there was one since a moment.
+  // Number of stalls so far; a higher number than before means that one
+  // occurred since.
   std::uint64_t CountStalls(const ClockReadings& now);
 
  private:
--- a/src/wake_timer.h
+++ b/src/wake_timer.h
@@ -1,7 +1,9 @@
 #ifndef SARDINELEAD_SRC_WAKE_TIMER_H_
 #define SARDINELEAD_SRC_WAKE_TIMER_H_
 
-// Calls a function once after a time, on an Asio context.
+// Calls a function on an Asio context once after each WakeAfter(), unless that
+// was replaced. The context must not run after this object is destroyed. Not
+// thread-safe.
 
 #include <algorithm>
 #include <asio/io_context.hpp>
