--- a/bench/link_bench.cc
+++ b/bench/link_bench.cc
@@ -111,7 +111,7 @@
   return bytes - static_cast<double>(kHeadBytes + kBodyBytes);
 }
 
-// Sends single datagrams to a loopback socket that nobody reads, as for
+// Sends single datagrams to a loopback socket that is not read, as for
 // packets that arrive one by one.
 class LoopbackSender {
  public:
