Balancers log what the reset of an open flow rests on

Change: Forwarding carries a FlowEvidence; the line has the event open-flow-reset, with the target, its start, the later target at its address and that one's start, since when its end is known, the versions under which the flow was first seen and that removed its route, and whether this balancer placed it. No decision is changed.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -62,11 +62,11 @@
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "sardinelead/error.h"
 #include "sardinelead/evacuation_filter.h"
+#include "sardinelead/flow_evidence.h"
 #include "sardinelead/flow_placement.h"
 #include "sardinelead/queued_flows.h"
 #include "sardinelead/read_progress.h"
@@ -135,6 +135,8 @@
   std::uint32_t cookie = 0;  // To write into the packet.
   // For kReset: a sequence number that the caller accepts.
   std::uint32_t reset_sequence = 0;
+  // Set if a flow that may be open is reset.
+  std::optional<FlowEvidence> evidence;
 };
 
 // A change in the health state of a target, for logs.
@@ -301,6 +303,7 @@
     std::uint32_t request_bytes = 0;  // Of the latest request, without copies.
     std::uint32_t acknowledged = 0;
     std::uint32_t data_end = 0;  // Sequence number after the last data byte.
+    ConfigVersion first_seen_version;  // Of the routes in force here.
     // The round in which the last copy of the request was forwarded that counts
     // as evidence.
     std::uint64_t sent_round = 0;
@@ -319,6 +322,8 @@
   Forwarding ForwardCopy(const FlowPacket& packet, Flow* flow, TimePoint now);
   Forwarding ForwardEstablished(const FlowPacket& packet, TimePoint now);
   bool HasEnded(const TargetDirectory::Entry& entry) const;
+  FlowEvidence EvidenceOfEnd(const TargetDirectory::Entry& entry) const;
+  static void AddRecord(const Flow& flow, FlowEvidence* evidence);
   Forwarding ForwardTo(const TargetDirectory::Entry& entry, const FlowKey& key,
                        ForwardReason reason) const;
   Forwarding Drop(const FlowPacket& packet, ForwardReason reason) const;
@@ -334,7 +339,7 @@
       const std::vector<PlacementTarget>& targets, TimePoint now);
   bool TakeWarmUpShare(const TargetDirectory::Entry& entry, TimePoint now);
   ForwardReason ReasonForNoTarget(const std::vector<PlacementTarget>& known);
-  void AddRemovedRoute(const Endpoint& address);
+  void AddRemovedRoute(const Endpoint& address, ConfigVersion version);
   ForwardReason UpdateFlow(const FlowPacket& packet, std::uint64_t target,
                            TimePoint now);
   void OpenFlow(const FlowPacket& packet, std::uint64_t target,
@@ -360,8 +365,9 @@
   FlowPlacement m_placement;
   EvacuationFilter m_evacuations;
   RouteTable m_routes;  // Version 0 before the first one.
-  // Addresses whose route was removed since this process started.
-  std::unordered_set<Endpoint, EndpointHash> m_removed_routes;
+  // Addresses whose route was removed since this process started, with the
+  // version that removed it.
+  std::unordered_map<Endpoint, ConfigVersion, EndpointHash> m_removed_routes;
   std::unordered_map<FlowKey, Flow, HashFlowKey> m_flows;
   ReadProgress m_progress;
   QueuedFlows m_queued;
--- a/include/sardinelead/target_directory.h
+++ b/include/sardinelead/target_directory.h
@@ -108,9 +108,9 @@
     return m_entries;
   }
   const Entry* Find(std::uint64_t number) const;
-  // Whether a target that started later has the address of `entry`, so that the
-  // process of `entry` is gone.
-  bool HasSuccessor(const Entry& entry) const;
+  // Returns a target that started later and has the address of `entry`, so that
+  // the process of `entry` is gone, or nullptr.
+  const Entry* FindSuccessor(const Entry& entry) const;
   // Returns nullptr if no target has this cookie. If several share it, prefers
   // one that has not ended. Cost: one lookup.
   const Entry* FindByCookie(std::uint32_t cookie) const;
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -82,7 +82,8 @@
 void CookieBalancer::SetRoutes(RouteTable routes) {
   if (!(m_routes.version < routes.version)) return;
   for (const Route& route : m_routes.routes) {
-    if (routes.Find(route.address) == nullptr) AddRemovedRoute(route.address);
+    if (routes.Find(route.address) != nullptr) continue;
+    AddRemovedRoute(route.address, routes.version);
   }
   m_routes = std::move(routes);
   m_targets_built_at = TimePoint{};
@@ -95,16 +96,19 @@
   auto applied = m_routes.Apply(change);
   if (!applied) return applied;
   m_targets_built_at = TimePoint{};
-  for (const Endpoint& address : change.removed) AddRemovedRoute(address);
+  for (const Endpoint& address : change.removed) {
+    AddRemovedRoute(address, change.version);
+  }
   for (const Route& route : change.changed) {
     m_removed_routes.erase(route.address);
   }
   return {};
 }
 
-void CookieBalancer::AddRemovedRoute(const Endpoint& address) {
+void CookieBalancer::AddRemovedRoute(const Endpoint& address,
+                                     ConfigVersion version) {
   if (m_removed_routes.size() >= kMaxRemovedRoutes) return;
-  m_removed_routes.insert(address);
+  m_removed_routes[address] = version;
 }
 
 void CookieBalancer::SetEvacuations(const EvacuationReport& evacuations,
@@ -134,12 +138,18 @@
     return MakeReset(packet, ForwardReason::kNoRoute);
   }
   const auto flow = m_flows.find(packet.flow);
-  const bool was_removed = m_removed_routes.count(packet.flow.service) != 0 &&
+  const auto removed = m_removed_routes.find(packet.flow.service);
+  const bool was_removed = removed != m_removed_routes.end() &&
                            flow != m_flows.end() && flow->second.is_open;
-  if (was_removed && !packet.opens && !packet.resets) {
-    return MakeReset(packet, ForwardReason::kRouteRemoved);
+  if (!was_removed || packet.opens || packet.resets) {
+    return Drop(packet, ForwardReason::kNoRoute);
   }
-  return Drop(packet, ForwardReason::kNoRoute);
+  Forwarding out = MakeReset(packet, ForwardReason::kRouteRemoved);
+  out.evidence.emplace();
+  out.evidence->target = flow->second.target;
+  out.evidence->removed_version = removed->second;
+  AddRecord(flow->second, &*out.evidence);
+  return out;
 }
 
 Forwarding CookieBalancer::Drop(const FlowPacket& packet,
@@ -206,6 +216,7 @@
   flow.opened_at = now;
   flow.seen_at = now;
   flow.data_end = packet.sequence;
+  flow.first_seen_version = m_routes.version;
   flow.is_first_send = true;
   m_placement.OnOpening(target, now);
 }
@@ -246,7 +257,26 @@
 // number may not be known here yet.
 bool CookieBalancer::HasEnded(const TargetDirectory::Entry& entry) const {
   return entry.announcement.state == AnnouncedState::kEnded &&
-         m_directory->HasSuccessor(entry);
+         m_directory->FindSuccessor(entry) != nullptr;
+}
+
+FlowEvidence CookieBalancer::EvidenceOfEnd(
+    const TargetDirectory::Entry& entry) const {
+  FlowEvidence evidence;
+  evidence.target = entry.announcement.number;
+  evidence.started_ms = entry.announcement.started_ms;
+  evidence.ended_for = m_hooks.covered_time() - entry.ended_at;
+  const TargetDirectory::Entry* successor = m_directory->FindSuccessor(entry);
+  if (successor != nullptr) {
+    evidence.successor = successor->announcement.number;
+    evidence.successor_started_ms = successor->announcement.started_ms;
+  }
+  return evidence;
+}
+
+void CookieBalancer::AddRecord(const Flow& flow, FlowEvidence* evidence) {
+  evidence->first_seen_version = flow.first_seen_version;
+  evidence->is_placed_here = flow.opening_sequence.has_value();
 }
 
 Forwarding CookieBalancer::ForwardEstablished(const FlowPacket& packet,
@@ -259,8 +289,12 @@
     return out;
   }
   if (HasEnded(*entry) && !packet.resets) {
+    Forwarding out = MakeReset(packet, ForwardReason::kTargetEnded);
+    out.evidence = EvidenceOfEnd(*entry);
+    const auto flow = m_flows.find(packet.flow);
+    if (flow != m_flows.end()) AddRecord(flow->second, &*out.evidence);
     RemoveFlow(packet.flow);
-    return MakeReset(packet, ForwardReason::kTargetEnded);
+    return out;
   }
   const ForwardReason reason =
       UpdateFlow(packet, entry->announcement.number, now);
@@ -291,6 +325,7 @@
   const auto [found, is_new] = m_flows.try_emplace(packet.flow);
   Flow& flow = found->second;
   flow.seen_at = now;
+  if (is_new) flow.first_seen_version = m_routes.version;
   flow.is_first_send = flow.is_counted_since = false;
   if (flow.is_closed) return reason;
   if (!flow.is_open) OpenFlow(packet, target, !is_new, &flow, now);
@@ -444,6 +479,8 @@
     reset.reason = ForwardReason::kTargetEnded;
     reset.flow = key;
     reset.reset_sequence = flow.acknowledged;
+    reset.evidence = EvidenceOfEnd(*m_directory->Find(flow.target));
+    AddRecord(flow, &*reset.evidence);
     out.push_back(reset);
   }
   for (const Forwarding& reset : out) RemoveFlow(reset.flow);
--- a/src/target_directory.cc
+++ b/src/target_directory.cc
@@ -210,15 +210,17 @@
   return found == m_entries.end() ? nullptr : &found->second;
 }
 
-bool TargetDirectory::HasSuccessor(const Entry& entry) const {
+const TargetDirectory::Entry* TargetDirectory::FindSuccessor(
+    const Entry& entry) const {
   const auto [begin, end] =
       m_by_address.equal_range(entry.announcement.address);
   for (auto it = begin; it != end; ++it) {
-    const TargetAnnouncement& other = m_entries.at(it->second).announcement;
-    const bool is_later = other.started_ms > entry.announcement.started_ms;
-    if (is_later && IsConfigured(other)) return true;
+    const Entry& other = m_entries.at(it->second);
+    const bool is_later =
+        other.announcement.started_ms > entry.announcement.started_ms;
+    if (is_later && IsConfigured(other.announcement)) return &other;
   }
-  return false;
+  return nullptr;
 }
 
 const TargetDirectory::Entry* TargetDirectory::FindByCookie(
