A flow is reset for a removed route only by the balancer that placed it

Cause: a balancer at version 1 took over a flow that had opened under version 3, recorded it as open, then applied version 2, which lacks the route, and reset the flow's next packet. That a flow was seen before the route went here does not show that it opened before the route went.

Change: only the balancer that placed the flow resets it for a removed route. It placed the flow under a table with the route, so that the removal is later than the flow; a later flow with the same addresses is told apart by its sequence numbers. Others drop the packet until their table has the route or the caller gives up.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -25,9 +25,10 @@
 // flow.
 //
 // A flow that may be open is reset only if another process has its target's
-// address, or if its route was removed after it was seen here. No flow is reset
-// because of how soon a target answers or ends: one that is slow or paused
-// looks like one that is gone, and one that announced its end may still serve.
+// address, or if its route was removed after it was placed here. No flow is
+// reset because of how soon a target answers or ends: one that is slow or
+// paused looks like one that is gone, and one that announced its end may still
+// serve.
 //
 // A target whose callers retransmit requests gets no new flows while it answers
 // none. Answers do not pass through the balancer, so retransmissions are the
@@ -113,7 +114,7 @@
   kUnplacedCopy,  // Copy of an opening packet that was not placed here, or of a
                   // flow that has closed.
   kNoRoute,       // The address has no route.
-  kRouteRemoved,  // The address had a route that was removed.
+  kRouteRemoved,  // The route was removed after the flow was placed here.
   kNoTarget,      // The pool has no usable target.
   kEvacuated,     // All usable targets are in evacuated data centres.
   kUnknownCookie,  // No known target has this cookie.
@@ -323,6 +324,7 @@
   Forwarding ForwardEstablished(const FlowPacket& packet, TimePoint now);
   bool HasEnded(const TargetDirectory::Entry& entry) const;
   FlowEvidence EvidenceOfEnd(const TargetDirectory::Entry& entry) const;
+  static bool WasPlacedHere(const FlowPacket& packet, const Flow& flow);
   static void AddRecord(const Flow& flow, FlowEvidence* evidence);
   Forwarding ForwardTo(const TargetDirectory::Entry& entry, const FlowKey& key,
                        ForwardReason reason) const;
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -9,6 +9,8 @@
 // Maximum staleness of the target lists with respect to leases and warm-ups.
 constexpr Duration kTargetListMaxAge = std::chrono::milliseconds(100);
 constexpr std::size_t kMaxRemovedRoutes = 10'000;
+// A caller sends less on one flow.
+constexpr std::uint32_t kMaxFlowBytes = 1U << 28;
 constexpr Duration kReportInterval = std::chrono::milliseconds(500);
 
 // Whether sequence number `a` comes after `b`, modulo 2^32.
@@ -130,9 +132,10 @@
                       : ForwardEstablished(packet, now);
 }
 
-// Another balancer may have a newer table that contains the route, so only what
-// cannot be an open flow under that table is reset: a first opening packet, and
-// a flow that was seen here before its route was removed.
+// Another balancer may have a newer table that contains the route again, and a
+// flow that this one has taken over may have opened under that table. So only
+// these are reset: a first opening packet, and a flow that was placed here,
+// hence under a table that is older than the removal.
 Forwarding CookieBalancer::ForwardWithoutRoute(const FlowPacket& packet) const {
   if (packet.opens && !packet.is_copy) {
     return MakeReset(packet, ForwardReason::kNoRoute);
@@ -140,7 +143,8 @@
   const auto flow = m_flows.find(packet.flow);
   const auto removed = m_removed_routes.find(packet.flow.service);
   const bool was_removed = removed != m_removed_routes.end() &&
-                           flow != m_flows.end() && flow->second.is_open;
+                           flow != m_flows.end() && flow->second.is_open &&
+                           WasPlacedHere(packet, flow->second);
   if (!was_removed || packet.opens || packet.resets) {
     return Drop(packet, ForwardReason::kNoRoute);
   }
@@ -152,6 +156,13 @@
   return out;
 }
 
+// Whether the packet belongs to the flow that was placed here, and not to a
+// later one with the same addresses.
+bool CookieBalancer::WasPlacedHere(const FlowPacket& packet, const Flow& flow) {
+  return flow.opening_sequence &&
+         packet.sequence - *flow.opening_sequence < kMaxFlowBytes;
+}
+
 Forwarding CookieBalancer::Drop(const FlowPacket& packet,
                                 ForwardReason reason) const {
   Forwarding out;
--- a/tests/cookie_balancer_fixture.h
+++ b/tests/cookie_balancer_fixture.h
@@ -119,6 +119,13 @@
     m_balancer.OnPacket(Data(port, CookieOf(target), 0, service), m_now);
     m_now += milliseconds(1);
   }
+  // Adds a flow that this balancer places. Returns its cookie.
+  std::uint32_t OpenHere(std::uint16_t port, const Endpoint& service) {
+    const Forwarding placed =
+        m_balancer.OnPacket(Opening(port, service), m_now);
+    m_balancer.OnPacket(Data(port, placed.cookie, 0, service), m_now);
+    return placed.cookie;
+  }
   void Request(std::uint16_t port, std::uint32_t cookie,
                const Endpoint& service = kService) {
     m_balancer.OnPacket(Data(port, cookie, 300, service), m_now);
