No open flow is reset for a removed route

But its own table may have been late: placed under version 1 while others had version 3, the flow was reset when version 2, without the route, arrived. Whether the flow lives still rested on how late a table arrives.

Change: packets of a removed route are dropped, reason route-removed, and sent on when a table has the route again. No balancer resets a flow for its route. A reset would need a quorum's confirmation, later than the flow, of the table under which it was placed, and balancers have none.

Callers of a route that stays removed now wait for their own limits.

The two tests that asked for the reset now ask for the drop and its reason, and that the flow goes on when the route is back.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -25,10 +25,11 @@
 // flow.
 //
 // A flow that may be open is reset only if another process has its target's
-// address, or if its route was removed after it was placed here. No flow is
-// reset because of how soon a target answers or ends: one that is slow or
-// paused looks like one that is gone, and one that announced its end may still
-// serve.
+// address. No flow is reset because of how soon a target answers or ends: one
+// that is slow or paused looks like one that is gone, and one that announced
+// its end may still serve. Nor is one reset whose route is removed, because
+// the flow and a newer table that has the route again may be known here in any
+// order. Its packets are dropped.
 //
 // A target whose callers retransmit requests gets no new flows while it answers
 // none. Answers do not pass through the balancer, so retransmissions are the
@@ -63,6 +64,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "sardinelead/error.h"
@@ -114,7 +116,7 @@
   kUnplacedCopy,  // Copy of an opening packet that was not placed here, or of a
                   // flow that has closed.
   kNoRoute,       // The address has no route.
-  kRouteRemoved,  // The route was removed after the flow was placed here.
+  kRouteRemoved,  // The address had a route that was removed.
   kNoTarget,      // The pool has no usable target.
   kEvacuated,     // All usable targets are in evacuated data centres.
   kUnknownCookie,  // No known target has this cookie.
@@ -304,7 +306,6 @@
     std::uint32_t request_bytes = 0;  // Of the latest request, without copies.
     std::uint32_t acknowledged = 0;
     std::uint32_t data_end = 0;  // Sequence number after the last data byte.
-    ConfigVersion first_seen_version;  // Of the routes in force here.
     // The round in which the last copy of the request was forwarded that counts
     // as evidence.
     std::uint64_t sent_round = 0;
@@ -324,8 +325,6 @@
   Forwarding ForwardEstablished(const FlowPacket& packet, TimePoint now);
   bool HasEnded(const TargetDirectory::Entry& entry) const;
   FlowEvidence EvidenceOfEnd(const TargetDirectory::Entry& entry) const;
-  static bool WasPlacedHere(const FlowPacket& packet, const Flow& flow);
-  static void AddRecord(const Flow& flow, FlowEvidence* evidence);
   Forwarding ForwardTo(const TargetDirectory::Entry& entry, const FlowKey& key,
                        ForwardReason reason) const;
   Forwarding Drop(const FlowPacket& packet, ForwardReason reason) const;
@@ -341,7 +340,7 @@
       const std::vector<PlacementTarget>& targets, TimePoint now);
   bool TakeWarmUpShare(const TargetDirectory::Entry& entry, TimePoint now);
   ForwardReason ReasonForNoTarget(const std::vector<PlacementTarget>& known);
-  void AddRemovedRoute(const Endpoint& address, ConfigVersion version);
+  void AddRemovedRoute(const Endpoint& address);
   ForwardReason UpdateFlow(const FlowPacket& packet, std::uint64_t target,
                            TimePoint now);
   void OpenFlow(const FlowPacket& packet, std::uint64_t target,
@@ -367,9 +366,8 @@
   FlowPlacement m_placement;
   EvacuationFilter m_evacuations;
   RouteTable m_routes;  // Version 0 before the first one.
-  // Addresses whose route was removed since this process started, with the
-  // version that removed it.
-  std::unordered_map<Endpoint, ConfigVersion, EndpointHash> m_removed_routes;
+  // Addresses whose route was removed since this process started.
+  std::unordered_set<Endpoint, EndpointHash> m_removed_routes;
   std::unordered_map<FlowKey, Flow, HashFlowKey> m_flows;
   ReadProgress m_progress;
   QueuedFlows m_queued;
--- a/include/sardinelead/flow_evidence.h
+++ b/include/sardinelead/flow_evidence.h
@@ -21,11 +21,6 @@
   std::uint64_t successor_started_ms = 0;
   // For how long this balancer has taken the target for ended.
   Duration ended_for{0};
-  // The routes in force here when the flow was first seen here.
-  ConfigVersion first_seen_version;
-  // The version that removed the flow's route here; 0 if none.
-  ConfigVersion removed_version;
-  bool is_placed_here = false;  // This balancer selected the target.
 };
 
 }  // namespace sardinelead
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -9,8 +9,6 @@
 // Maximum staleness of the target lists with respect to leases and warm-ups.
 constexpr Duration kTargetListMaxAge = std::chrono::milliseconds(100);
 constexpr std::size_t kMaxRemovedRoutes = 10'000;
-// A caller sends less on one flow.
-constexpr std::uint32_t kMaxFlowBytes = 1U << 28;
 constexpr Duration kReportInterval = std::chrono::milliseconds(500);
 
 // Whether sequence number `a` comes after `b`, modulo 2^32.
@@ -84,8 +82,7 @@
 void CookieBalancer::SetRoutes(RouteTable routes) {
   if (!(m_routes.version < routes.version)) return;
   for (const Route& route : m_routes.routes) {
-    if (routes.Find(route.address) != nullptr) continue;
-    AddRemovedRoute(route.address, routes.version);
+    if (routes.Find(route.address) == nullptr) AddRemovedRoute(route.address);
   }
   m_routes = std::move(routes);
   m_targets_built_at = TimePoint{};
@@ -98,19 +95,16 @@
   auto applied = m_routes.Apply(change);
   if (!applied) return applied;
   m_targets_built_at = TimePoint{};
-  for (const Endpoint& address : change.removed) {
-    AddRemovedRoute(address, change.version);
-  }
+  for (const Endpoint& address : change.removed) AddRemovedRoute(address);
   for (const Route& route : change.changed) {
     m_removed_routes.erase(route.address);
   }
   return {};
 }
 
-void CookieBalancer::AddRemovedRoute(const Endpoint& address,
-                                     ConfigVersion version) {
+void CookieBalancer::AddRemovedRoute(const Endpoint& address) {
   if (m_removed_routes.size() >= kMaxRemovedRoutes) return;
-  m_removed_routes[address] = version;
+  m_removed_routes.insert(address);
 }
 
 void CookieBalancer::SetEvacuations(const EvacuationReport& evacuations,
@@ -132,35 +126,16 @@
                       : ForwardEstablished(packet, now);
 }
 
-// Another balancer may have a newer table that contains the route again, and a
-// flow that this one has taken over may have opened under that table. So only
-// these are reset: a first opening packet, and a flow that was placed here,
-// hence under a table that is older than the removal.
+// The table may be older than the flow, and a newer one may contain the route
+// again. So only a first opening packet, which belongs to no open flow, is
+// answered with a reset.
 Forwarding CookieBalancer::ForwardWithoutRoute(const FlowPacket& packet) const {
   if (packet.opens && !packet.is_copy) {
     return MakeReset(packet, ForwardReason::kNoRoute);
   }
-  const auto flow = m_flows.find(packet.flow);
-  const auto removed = m_removed_routes.find(packet.flow.service);
-  const bool was_removed = removed != m_removed_routes.end() &&
-                           flow != m_flows.end() && flow->second.is_open &&
-                           WasPlacedHere(packet, flow->second);
-  if (!was_removed || packet.opens || packet.resets) {
-    return Drop(packet, ForwardReason::kNoRoute);
-  }
-  Forwarding out = MakeReset(packet, ForwardReason::kRouteRemoved);
-  out.evidence.emplace();
-  out.evidence->target = flow->second.target;
-  out.evidence->removed_version = removed->second;
-  AddRecord(flow->second, &*out.evidence);
-  return out;
-}
-
-// Whether the packet belongs to the flow that was placed here, and not to a
-// later one with the same addresses.
-bool CookieBalancer::WasPlacedHere(const FlowPacket& packet, const Flow& flow) {
-  return flow.opening_sequence &&
-         packet.sequence - *flow.opening_sequence < kMaxFlowBytes;
+  const bool was_removed = m_removed_routes.count(packet.flow.service) != 0;
+  return Drop(packet, was_removed ? ForwardReason::kRouteRemoved
+                                  : ForwardReason::kNoRoute);
 }
 
 Forwarding CookieBalancer::Drop(const FlowPacket& packet,
@@ -227,7 +202,6 @@
   flow.opened_at = now;
   flow.seen_at = now;
   flow.data_end = packet.sequence;
-  flow.first_seen_version = m_routes.version;
   flow.is_first_send = true;
   m_placement.OnOpening(target, now);
 }
@@ -285,11 +259,6 @@
   return evidence;
 }
 
-void CookieBalancer::AddRecord(const Flow& flow, FlowEvidence* evidence) {
-  evidence->first_seen_version = flow.first_seen_version;
-  evidence->is_placed_here = flow.opening_sequence.has_value();
-}
-
 Forwarding CookieBalancer::ForwardEstablished(const FlowPacket& packet,
                                               TimePoint now) {
   const TargetDirectory::Entry* entry =
@@ -302,8 +271,6 @@
   if (HasEnded(*entry) && !packet.resets) {
     Forwarding out = MakeReset(packet, ForwardReason::kTargetEnded);
     out.evidence = EvidenceOfEnd(*entry);
-    const auto flow = m_flows.find(packet.flow);
-    if (flow != m_flows.end()) AddRecord(flow->second, &*out.evidence);
     RemoveFlow(packet.flow);
     return out;
   }
@@ -336,7 +303,6 @@
   const auto [found, is_new] = m_flows.try_emplace(packet.flow);
   Flow& flow = found->second;
   flow.seen_at = now;
-  if (is_new) flow.first_seen_version = m_routes.version;
   flow.is_first_send = flow.is_counted_since = false;
   if (flow.is_closed) return reason;
   if (!flow.is_open) OpenFlow(packet, target, !is_new, &flow, now);
@@ -491,7 +457,6 @@
     reset.flow = key;
     reset.reset_sequence = flow.acknowledged;
     reset.evidence = EvidenceOfEnd(*m_directory->Find(flow.target));
-    AddRecord(flow, &*reset.evidence);
     out.push_back(reset);
   }
   for (const Forwarding& reset : out) RemoveFlow(reset.flow);
--- a/tests/cookie_balancer_test.cc
+++ b/tests/cookie_balancer_test.cc
@@ -22,7 +22,7 @@
   CPPUNIT_TEST(FlowsOfAnEndedTargetAreReset);
   CPPUNIT_TEST(EntryOfAnUnknownPoolResetsNoFlow);
   CPPUNIT_TEST(NewFlowsWithoutARouteAreRefusedAtOnce);
-  CPPUNIT_TEST(RemovedRouteEndsItsFlowsUnknownOneDoesNot);
+  CPPUNIT_TEST(PacketsWithoutARouteAreDropped);
   CPPUNIT_TEST(ChangeOfRoutesActsAsTheWholeTable);
   CPPUNIT_TEST(OlderRoutesAreIgnored);
   CPPUNIT_TEST(GatheringBalancerHoldsPackets);
@@ -239,30 +239,23 @@
                    ForwardAction::kDrop);
   }
 
-  void RemovedRouteEndsItsFlowsUnknownOneDoesNot() {
+  void AssertDropped(ForwardReason reason, const FlowPacket& packet) {
+    const Forwarding out = m_balancer.OnPacket(packet, m_now);
+    CPPUNIT_ASSERT(out.action == ForwardAction::kDrop);
+    CPPUNIT_ASSERT(out.reason == reason);
+  }
+
+  void PacketsWithoutARouteAreDropped() {
     const FlowPacket removed = Data(1, OpenHere(1, kNotes), 1, kNotes);
-    OpenAt(3, kNotes, 1);
     SetRoutes(2, {kService});
-    CPPUNIT_ASSERT(m_balancer.OnPacket(removed, m_now).reason ==
-                   ForwardReason::kRouteRemoved);
-    // A flow that was taken over may have opened under a newer table.
-    const FlowPacket taken_over = Data(3, CookieOf(1), 1, kNotes);
-    CPPUNIT_ASSERT(m_balancer.OnPacket(taken_over, m_now).action ==
-                   ForwardAction::kDrop);
-    // So may a later flow with the addresses of one that was placed here.
-    FlowPacket reused = removed;
-    reused.sequence -= 1;
-    CPPUNIT_ASSERT(m_balancer.OnPacket(reused, m_now).action ==
-                   ForwardAction::kDrop);
+    AssertDropped(ForwardReason::kRouteRemoved, removed);
     // Another balancer may have a newer table that contains this route.
     FlowPacket unknown = removed;
     unknown.flow.service.port = 9;
-    CPPUNIT_ASSERT(m_balancer.OnPacket(unknown, m_now).action ==
-                   ForwardAction::kDrop);
+    AssertDropped(ForwardReason::kNoRoute, unknown);
     // So may it contain the removed route again, for flows that are new here.
     const FlowPacket opened_later = Data(2, CookieOf(1), 1, kNotes);
-    CPPUNIT_ASSERT(m_balancer.OnPacket(opened_later, m_now).action ==
-                   ForwardAction::kDrop);
+    AssertDropped(ForwardReason::kRouteRemoved, opened_later);
     SetRoutes(3, {kService, kNotes});
     CPPUNIT_ASSERT(m_balancer.OnPacket(removed, m_now).action ==
                    ForwardAction::kForward);
@@ -278,8 +271,7 @@
     added.address.port = 9;
     change.changed = {added};
     CPPUNIT_ASSERT(m_balancer.ApplyRouteChange(change).has_value());
-    CPPUNIT_ASSERT(m_balancer.OnPacket(removed, m_now).reason ==
-                   ForwardReason::kRouteRemoved);
+    AssertDropped(ForwardReason::kRouteRemoved, removed);
     CPPUNIT_ASSERT(
         m_balancer.OnPacket(Opening(2, added.address), m_now).action ==
         ForwardAction::kForward);
--- a/tests/open_flow_proof_test.cc
+++ b/tests/open_flow_proof_test.cc
@@ -66,6 +66,7 @@
 class OpenFlowProofTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OpenFlowProofTest);
   CPPUNIT_TEST(RemovalBeforeTheFlowOpenedDoesNotResetIt);
+  CPPUNIT_TEST(LateTablesDoNotResetAFlowThatIsNewerThanThem);
   CPPUNIT_TEST(ReplacedStartDoesNotEndALaterStart);
   CPPUNIT_TEST(UnknownStartGetsNoPacketsAtTheEarlierAddress);
   CPPUNIT_TEST(TargetWithASlowClockKeepsItsFlows);
@@ -93,6 +94,18 @@
     AssertForwarded(1, kFirstAddress, m_late.OnPacket(Data(cookie)));
   }
 
+  // Guards against resets of a flow that a balancer placed under version 1,
+  // after the others had version 3, when it gets version 2.
+  void LateTablesDoNotResetAFlowThatIsNewerThanThem() {
+    m_late.Announce(1, kFirstAddress, 100);
+    const std::uint32_t cookie = OpenAt(&m_late);
+    m_late.SetRoutes(2, kOtherService);
+    CPPUNIT_ASSERT(m_late.OnPacket(Data(cookie)).action ==
+                   ForwardAction::kDrop);
+    m_late.SetRoutes(3, kService);
+    AssertForwarded(1, kFirstAddress, m_late.OnPacket(Data(cookie)));
+  }
+
   // Guards against resets of a target's flows at a balancer that knows only an
   // earlier start of it, whose address another target has.
   void ReplacedStartDoesNotEndALaterStart() {
