A cookie names one start of a target, not all of them

Cause: all starts of a target under one number had one cookie. A balancer that knew the first start and the target that has its address, but not the second start elsewhere, took the second start's flows for those of the first and reset them; one that knew only the first start sent their packets to its address.

Change: the cookie is a hash of the number and of the start time. A balancer without the start holds the packet, as for an unknown target. The directory keeps up to 8 other starts of a target, in whatever order they become known, so that packets of an earlier start's flows go to its own address. Where the address is the same, number and address reach whichever process runs there, which resets what it does not hold; its answers then carry the cookie of the present start. Silence reports keep their hash of the number, so the feed's format is unchanged.

Why it works: which start a flow is at is carried with each packet and no longer inferred from what the balancer knows. Balancers of the code before and after it do not know each other's cookies: flows that move between them during an upgrade are dropped.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -4,11 +4,13 @@
 // Forwards packets of flows in which the caller echoes a cookie.
 //
 // Callers echo a 32-bit cookie that the balancer wrote, so every packet after
-// the first identifies its target. Any balancer that knows the target can
-// forward the packet, without per-flow state and without contacting another
-// balancer. The forwarded packet carries the target's number, and a target
-// drops packets with another number, so a packet cannot reach the wrong service
-// even if the balancer's directory is stale.
+// the first identifies its target and the start of its process. Any balancer
+// that knows this start can forward the packet, without per-flow state and
+// without contacting another balancer. One that knows only another start of the
+// target holds the packet until it learns of this one. The forwarded packet
+// carries the target's number, and a target drops packets with another number,
+// so a packet cannot reach the wrong service even if the balancer's directory
+// is stale.
 //
 // A flow has one target. Callers return the cookie that they received last, and
 // a target may answer an opening packet at any time. If two targets had got the
@@ -119,7 +121,7 @@
   kRouteRemoved,  // The address had a route that was removed.
   kNoTarget,      // The pool has no usable target.
   kEvacuated,     // All usable targets are in evacuated data centres.
-  kUnknownCookie,  // No known target has this cookie.
+  kUnknownCookie,  // No known start of a target has this cookie.
   kTargetEnded,    // Another process has the address of the flow's target.
   kNotReady,       // No route table received yet.
   kLinkFull,       // This VM's link cannot carry the new flow in time.
--- a/include/sardinelead/target_directory.h
+++ b/include/sardinelead/target_directory.h
@@ -9,6 +9,12 @@
 // and delivery by several paths give the same result. Of two targets with the
 // same address, only the one that started last still exists.
 //
+// A target may start again under its number, also at another address, and nodes
+// learn that at different times. A cookie names one start, so a node that knows
+// only an earlier one does not know the cookie, in place of sending packets to
+// the earlier address. A few other starts of each target are kept, for packets
+// of their flows.
+//
 // An announcement for a pool that is not configured may come from a program
 // that is no target at all. It is kept, since the pool may be configured later,
 // but it changes nothing about other targets: it neither ends a target with the
@@ -26,6 +32,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "sardinelead/types.h"
@@ -53,9 +60,12 @@
   Duration warm_up_left{0};  // Remaining time of reduced speed.
 };
 
-// Returns the cookie carried by flows of this target: a hash, equal on all
-// nodes and never 0. Two targets may share a cookie.
-std::uint32_t CookieOf(std::uint64_t target_number);
+// Returns the cookie carried by flows of this start of a target: a hash, equal
+// on all nodes and never 0. A later start of the target has another cookie,
+// since it does not hold the flows of this one. Two starts may share a cookie.
+std::uint32_t CookieOf(std::uint64_t target_number, std::uint64_t started_ms);
+// Returns a hash of the number that names the target in SilenceReport, never 0.
+std::uint32_t ShortNumberOf(std::uint64_t target_number);
 
 enum class AnnouncementEffect : std::uint8_t {
   kStale,    // Older than the known announcement; ignored.
@@ -68,6 +78,11 @@
 
 class TargetDirectory {
  public:
+  // Another start of a target than that of its newest announcement.
+  struct OtherStart {
+    std::uint64_t started_ms = 0;
+    Endpoint address;
+  };
   struct Entry {
     TargetAnnouncement announcement;
     TimePoint heard_at;
@@ -77,6 +92,13 @@
     std::uint64_t revision = 0;
     // The grant for this start of the target; empty if none is known.
     std::optional<WarmUpShares> warm_up_shares;
+    std::vector<OtherStart> other_starts;  // The latest known ones.
+  };
+  // A start of a target, which a cookie names.
+  struct Start {
+    const Entry* entry = nullptr;  // Its target, which may have started again.
+    std::uint64_t started_ms = 0;
+    Endpoint address;
   };
 
   // Called when a target is found to have ended because `successor`, which
@@ -98,7 +120,7 @@
   void SetWarmUpShares(std::uint64_t number, std::uint64_t started_ms,
                        const WarmUpShares& shares);
   // Records that a heartbeat without an announcement arrived at `heard_at`.
-  void Renew(std::uint32_t cookie, TimePoint heard_at);
+  void Renew(std::uint64_t number, TimePoint heard_at);
   // Removes targets whose last heartbeat was received at least `age` ago.
   void RemoveSilent(Duration age, TimePoint now);
 
@@ -111,14 +133,22 @@
   // Returns a target that started later and has the address of `entry`, so that
   // the process of `entry` is gone, or nullptr.
   const Entry* FindSuccessor(const Entry& entry) const;
-  // Returns nullptr if no target has this cookie. If several share it, prefers
-  // one that has not ended. Cost: one lookup.
-  const Entry* FindByCookie(std::uint32_t cookie) const;
+  // Returns the start that this cookie names, or nothing if it is not known. If
+  // several share the cookie, prefers the present start of a target that has
+  // not ended. An earlier start at the address of the present one is returned
+  // as the present one: number and address do not tell them apart. Cost: one
+  // lookup.
+  std::optional<Start> FindByCookie(std::uint32_t cookie) const;
 
  private:
   AnnouncementEffect Replace(Entry* entry,
                              const TargetAnnouncement& announcement,
                              TimePoint heard_at);
+  void IndexStart(std::uint64_t number, std::uint64_t started_ms);
+  void ChangeStart(Entry* entry, const TargetAnnouncement& announcement);
+  void AddOtherStart(Entry* entry, const TargetAnnouncement& announcement);
+  void RemoveStarts(const Entry& entry);
+  Start FindStart(std::uint64_t number, std::uint64_t started_ms) const;
   bool IsConfigured(const TargetAnnouncement& announcement) const {
     return m_pools.count(announcement.pool) != 0;
   }
@@ -129,7 +159,9 @@
   std::set<std::string> m_pools;
   std::uint64_t m_revision = 0;
   std::map<std::uint64_t, Entry> m_entries;  // By number.
-  std::multimap<std::uint32_t, std::uint64_t> m_by_cookie;
+  // The number and start time by cookie, for the present and the other starts.
+  std::multimap<std::uint32_t, std::pair<std::uint64_t, std::uint64_t>>
+      m_by_cookie;
   std::unordered_multimap<Endpoint, std::uint64_t, EndpointHash> m_by_address;
 };
 
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -233,7 +233,7 @@
   out.reason = reason;
   out.target = entry.announcement.number;
   out.address = entry.announcement.address;
-  out.cookie = CookieOf(out.target);
+  out.cookie = CookieOf(out.target, entry.announcement.started_ms);
   return out;
 }
 
@@ -261,22 +261,28 @@
 
 Forwarding CookieBalancer::ForwardEstablished(const FlowPacket& packet,
                                               TimePoint now) {
-  const TargetDirectory::Entry* entry =
-      packet.cookie == 0 ? nullptr : m_directory->FindByCookie(packet.cookie);
-  if (entry == nullptr) {
+  const auto start = packet.cookie == 0
+                         ? std::nullopt
+                         : m_directory->FindByCookie(packet.cookie);
+  if (!start) {
     Forwarding out = Drop(packet, ForwardReason::kUnknownCookie);
     if (packet.cookie != 0) out.action = ForwardAction::kHold;
     return out;
   }
-  if (HasEnded(*entry) && !packet.resets) {
+  const TargetDirectory::Entry& entry = *start->entry;
+  const bool is_present = start->started_ms == entry.announcement.started_ms;
+  if (is_present && HasEnded(entry) && !packet.resets) {
     Forwarding out = MakeReset(packet, ForwardReason::kTargetEnded);
-    out.evidence = EvidenceOfEnd(*entry);
+    out.evidence = EvidenceOfEnd(entry);
     RemoveFlow(packet.flow);
     return out;
   }
-  const ForwardReason reason =
-      UpdateFlow(packet, entry->announcement.number, now);
-  return ForwardTo(*entry, packet.flow, reason);
+  const std::uint64_t target = entry.announcement.number;
+  const ForwardReason reason = UpdateFlow(packet, target, now);
+  Forwarding out = ForwardTo(entry, packet.flow, reason);
+  out.address = start->address;
+  out.cookie = CookieOf(target, start->started_ms);
+  return out;
 }
 
 // Returns how the flow's record compares with the target that the cookie names.
--- a/src/feed_follower.cc
+++ b/src/feed_follower.cc
@@ -172,17 +172,17 @@
                                 const Source& source, TimePoint now) {
   std::unordered_map<std::uint32_t, Duration> silent;
   for (const SilentTarget& target : report.listed) {
-    silent.emplace(target.cookie, target.silent);
+    silent.emplace(target.short_number, target.silent);
   }
   for (const std::uint64_t number : source.targets) {
     const TargetDirectory::Entry* entry = m_directory->Find(number);
     const bool is_ended =
         entry == nullptr || entry->announcement.state == AnnouncedState::kEnded;
     if (is_ended) continue;
-    const auto found = silent.find(CookieOf(number));
+    const auto found = silent.find(ShortNumberOf(number));
     const Duration silence =
         found == silent.end() ? report.max_unlisted : found->second;
-    m_directory->Renew(CookieOf(number), DirectoryTime(now) - silence);
+    m_directory->Renew(number, DirectoryTime(now) - silence);
   }
 }
 
--- a/src/feed_message.cc
+++ b/src/feed_message.cc
@@ -46,7 +46,7 @@
   if (!silence) return out;
   out.push_back(ToMs(silence->max_unlisted));
   for (const SilentTarget& target : silence->listed) {
-    out.push_back(std::uint64_t{target.cookie});
+    out.push_back(std::uint64_t{target.short_number});
     out.push_back(ToMs(target.silent));
   }
   return out;
@@ -59,7 +59,7 @@
   report.max_unlisted = milliseconds(fields.Number());
   while (!fields.AtEnd()) {
     SilentTarget target;
-    target.cookie = static_cast<std::uint32_t>(fields.Number());
+    target.short_number = static_cast<std::uint32_t>(fields.Number());
     target.silent = milliseconds(fields.Number());
     report.listed.push_back(target);
   }
--- a/src/feed_message.h
+++ b/src/feed_message.h
@@ -58,7 +58,7 @@
 };
 
 struct SilentTarget {
-  std::uint32_t cookie = 0;
+  std::uint32_t short_number = 0;  // See ShortNumberOf().
   Duration silent{0};
 };
 
--- a/src/feed_publisher.cc
+++ b/src/feed_publisher.cc
@@ -308,7 +308,7 @@
     if (!record.is_heard) continue;
     const Duration silent = now - record.heard_at;
     if (silent > m_settings.silence_list_threshold) {
-      silence.listed.push_back({CookieOf(number), silent});
+      silence.listed.push_back({ShortNumberOf(number), silent});
     } else {
       silence.max_unlisted = std::max(silence.max_unlisted, silent);
     }
--- a/src/target_directory.cc
+++ b/src/target_directory.cc
@@ -9,6 +9,9 @@
 // The end of a warm-up is known this exactly, as heartbeats are delayed by
 // different times.
 constexpr Duration kWarmUpTolerance = std::chrono::seconds(1);
+constexpr std::size_t kMaxOtherStarts = 8;  // Of each target.
+
+constexpr std::uint64_t kHashSeed = 0x636f6f6b6965;
 
 bool IsOlder(const TargetAnnouncement& a, const TargetAnnouncement& b) {
   if (a.started_ms != b.started_ms) return a.started_ms < b.started_ms;
@@ -34,12 +37,13 @@
          warm_at - entry.warm_at > kWarmUpTolerance;
 }
 
-// Removes the entry of target `number` under `key`.
+// Removes the entry of `value` under `key`.
 template <typename Index, typename Key>
-void RemoveFromIndex(const Key& key, std::uint64_t number, Index* index) {
+void RemoveFromIndex(const Key& key, const typename Index::mapped_type& value,
+                     Index* index) {
   const auto [begin, end] = index->equal_range(key);
   for (auto it = begin; it != end; ++it) {
-    if (it->second != number) continue;
+    if (it->second != value) continue;
     index->erase(it);
     return;
   }
@@ -73,11 +77,15 @@
   return "unknown";
 }
 
-std::uint32_t CookieOf(std::uint64_t target_number) {
-  constexpr std::uint64_t kSeed = 0x636f6f6b6965;
-  const auto low =
-      static_cast<std::uint32_t>(HashCombine(target_number, kSeed));
-  return std::max<std::uint32_t>(low, 1);
+std::uint32_t CookieOf(std::uint64_t target_number, std::uint64_t started_ms) {
+  const std::uint64_t hash =
+      HashCombine(HashCombine(target_number, kHashSeed), started_ms);
+  return std::max(static_cast<std::uint32_t>(hash), 1U);
+}
+
+std::uint32_t ShortNumberOf(std::uint64_t target_number) {
+  const std::uint64_t hash = HashCombine(target_number, kHashSeed);
+  return std::max(static_cast<std::uint32_t>(hash), 1U);
 }
 
 TargetDirectory::TargetDirectory()
@@ -98,16 +106,20 @@
   const auto [found, is_new] = m_entries.try_emplace(received.number);
   Entry* entry = &found->second;
   if (is_new) {
-    m_by_cookie.emplace(CookieOf(received.number), received.number);
+    IndexStart(received.number, received.started_ms);
     return Replace(entry, received, heard_at);
   }
   const bool was_configured = IsConfigured(entry->announcement);
   const bool is_configured = IsConfigured(received);
   if (was_configured && !is_configured) return AnnouncementEffect::kForeign;
   if (is_configured && !was_configured) {
+    ChangeStart(entry, received);
     return Replace(entry, received, heard_at);
   }
-  if (IsOlder(received, entry->announcement)) return AnnouncementEffect::kStale;
+  if (IsOlder(received, entry->announcement)) {
+    AddOtherStart(entry, received);
+    return AnnouncementEffect::kStale;
+  }
   const bool is_ended = entry->announcement.state == AnnouncedState::kEnded &&
                         entry->announcement.started_ms == received.started_ms;
   if (is_ended) return AnnouncementEffect::kStale;
@@ -115,6 +127,7 @@
       !IsEquivalentForBalancers(entry->announcement, received) ||
       HasBecomeCold(*entry, received, heard_at);
   if (is_changed) {
+    ChangeStart(entry, received);
     return Replace(entry, received, heard_at);
   }
   entry->announcement = received;
@@ -123,6 +136,48 @@
   return AnnouncementEffect::kRenewed;
 }
 
+void TargetDirectory::IndexStart(std::uint64_t number,
+                                 std::uint64_t started_ms) {
+  m_by_cookie.emplace(CookieOf(number, started_ms),
+                      std::make_pair(number, started_ms));
+}
+
+// Prepares the entry for an announcement of another start than its present one,
+// which becomes one of the others.
+void TargetDirectory::ChangeStart(Entry* entry,
+                                  const TargetAnnouncement& announcement) {
+  const TargetAnnouncement& present = entry->announcement;
+  if (present.started_ms == announcement.started_ms) return;
+  entry->warm_up_shares.reset();
+  AddOtherStart(entry, announcement);
+  auto& others = entry->other_starts;
+  const auto becomes_present =
+      std::find_if(others.begin(), others.end(), [&](const OtherStart& other) {
+        return other.started_ms == announcement.started_ms;
+      });
+  *becomes_present = {present.started_ms, present.address};
+}
+
+// Adds the start of `announcement` unless it is known.
+void TargetDirectory::AddOtherStart(Entry* entry,
+                                    const TargetAnnouncement& announcement) {
+  const std::uint64_t number = announcement.number;
+  auto& others = entry->other_starts;
+  const bool is_known =
+      entry->announcement.started_ms == announcement.started_ms ||
+      std::any_of(others.begin(), others.end(), [&](const OtherStart& other) {
+        return other.started_ms == announcement.started_ms;
+      });
+  if (is_known) return;
+  if (others.size() == kMaxOtherStarts) {
+    const std::uint64_t dropped = others.front().started_ms;
+    RemoveFromIndex(CookieOf(number, dropped), {number, dropped}, &m_by_cookie);
+    others.erase(others.begin());
+  }
+  others.push_back({announcement.started_ms, announcement.address});
+  IndexStart(number, announcement.started_ms);
+}
+
 AnnouncementEffect TargetDirectory::Replace(
     Entry* entry, const TargetAnnouncement& announcement, TimePoint heard_at) {
   const Endpoint previous_address = entry->announcement.address;
@@ -130,9 +185,6 @@
     RemoveFromIndex(previous_address, announcement.number, &m_by_address);
     m_by_address.emplace(announcement.address, announcement.number);
   }
-  const bool is_new_start =
-      entry->announcement.started_ms != announcement.started_ms;
-  if (is_new_start) entry->warm_up_shares.reset();
   entry->announcement = announcement;
   entry->heard_at = std::max(entry->heard_at, heard_at);
   entry->warm_at = heard_at + announcement.warm_up_left;
@@ -183,12 +235,10 @@
   entry.revision = ++m_revision;
 }
 
-void TargetDirectory::Renew(std::uint32_t cookie, TimePoint heard_at) {
-  const auto [begin, end] = m_by_cookie.equal_range(cookie);
-  for (auto it = begin; it != end; ++it) {
-    Entry& entry = m_entries.at(it->second);
-    entry.heard_at = std::max(entry.heard_at, heard_at);
-  }
+void TargetDirectory::Renew(std::uint64_t number, TimePoint heard_at) {
+  const auto found = m_entries.find(number);
+  if (found == m_entries.end()) return;
+  found->second.heard_at = std::max(found->second.heard_at, heard_at);
 }
 
 void TargetDirectory::RemoveSilent(Duration age, TimePoint now) {
@@ -198,12 +248,22 @@
       ++it;
       continue;
     }
-    RemoveFromIndex(CookieOf(it->first), it->first, &m_by_cookie);
+    RemoveStarts(it->second);
     RemoveFromIndex(it->second.announcement.address, it->first, &m_by_address);
     it = m_entries.erase(it);
   }
 }
 
+void TargetDirectory::RemoveStarts(const Entry& entry) {
+  const std::uint64_t number = entry.announcement.number;
+  const auto remove = [this, number](std::uint64_t started_ms) {
+    RemoveFromIndex(CookieOf(number, started_ms), {number, started_ms},
+                    &m_by_cookie);
+  };
+  remove(entry.announcement.started_ms);
+  for (const OtherStart& other : entry.other_starts) remove(other.started_ms);
+}
+
 const TargetDirectory::Entry* TargetDirectory::Find(
     std::uint64_t number) const {
   const auto found = m_entries.find(number);
@@ -223,17 +283,35 @@
   return nullptr;
 }
 
-const TargetDirectory::Entry* TargetDirectory::FindByCookie(
+std::optional<TargetDirectory::Start> TargetDirectory::FindByCookie(
     std::uint32_t cookie) const {
-  const Entry* best = nullptr;
+  std::optional<Start> best;
+  bool is_best_living = false;
   const auto [begin, end] = m_by_cookie.equal_range(cookie);
   for (auto it = begin; it != end; ++it) {
-    const Entry& entry = m_entries.at(it->second);
-    const bool is_better =
-        best == nullptr || best->announcement.state == AnnouncedState::kEnded;
-    if (is_better) best = &entry;
+    const auto [number, started_ms] = it->second;
+    const Start start = FindStart(number, started_ms);
+    const TargetAnnouncement& present = start.entry->announcement;
+    const bool is_living = present.started_ms == start.started_ms &&
+                           present.state != AnnouncedState::kEnded;
+    if (best && (is_best_living || !is_living)) continue;
+    best = start;
+    is_best_living = is_living;
   }
   return best;
 }
 
+// The start is one of those in the index.
+TargetDirectory::Start TargetDirectory::FindStart(
+    std::uint64_t number, std::uint64_t started_ms) const {
+  const Entry& entry = m_entries.at(number);
+  const TargetAnnouncement& present = entry.announcement;
+  for (const OtherStart& other : entry.other_starts) {
+    const bool is_apart =
+        other.started_ms == started_ms && other.address != present.address;
+    if (is_apart) return {&entry, started_ms, other.address};
+  }
+  return {&entry, present.started_ms, present.address};
+}
+
 }  // namespace sardinelead
--- a/tests/cookie_balancer_fixture.h
+++ b/tests/cookie_balancer_fixture.h
@@ -76,6 +76,13 @@
     m_directory.Take(announcement, m_now);
   }
 
+  // The cookie of the target's present start.
+  std::uint32_t CookieOf(std::uint64_t target) const {
+    const TargetDirectory::Entry* entry = m_directory.Find(target);
+    return sardinelead::CookieOf(
+        target, entry == nullptr ? 0 : entry->announcement.started_ms);
+  }
+
   static FlowKey MakeFlowKey(std::uint16_t port, const Endpoint& service) {
     FlowKey key;
     key.caller = {IpAddress::FromV4(0x64400001), port};
