No open flow is reset by a balancer; the process that exists decides

Cause: of two targets at one address the one with the later start time was taken for the one that exists. The times come from the clocks of two VMs, and which of the two a balancer knows, and when, is a matter of its feed. A target whose clock was behind that of the address's earlier target lost its flows, and every packet of theirs was answered with a reset.

If another process seems to have taken the place of the flow's target, the packet goes to the target as before and a copy to the other process, each under its own number. Targets ignore packets with another number and reset flows that they do not hold, so the process that exists decides.

Why it works: the address itself tells which process has it, at the moment at which the packet arrives. No clock, no order of announcements and no table decides.

PacedSenderTest::CopyForASuccessorIsAPacketOfItsOwn is new.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -26,12 +26,18 @@
 // unanswered. Losing them at any time leads no packet elsewhere and resets no
 // flow.
 //
-// A flow that may be open is reset only if another process has its target's
-// address. No flow is reset because of how soon a target answers or ends: one
-// that is slow or paused looks like one that is gone, and one that announced
-// its end may still serve. Nor is one reset whose route is removed, because
-// the flow and a newer table that has the route again may be known here in any
-// order. Its packets are dropped.
+// No flow that may be open is reset. All that this balancer knows of its target
+// and its route may be late, and whatever the balancer learns next may take it
+// back: a target that is silent may be slow, one that announced its end may
+// still serve, and a route that was removed may stand again in a newer table.
+// Without a route, packets are dropped.
+//
+// The flow's end must therefore come from the targets, which reset flows that
+// they do not hold. If another process seems to have taken the place of the
+// flow's target, by the announced start times, the packet goes to the target as
+// before, and a copy goes to that process. Each is addressed by its number, so
+// only the one that exists takes it. If it is the target, the flow goes on; if
+// it is the other process, that resets the flow.
 //
 // A target whose callers retransmit requests gets no new flows while it answers
 // none. Answers do not pass through the balancer, so retransmissions are the
@@ -71,7 +77,6 @@
 
 #include "sardinelead/error.h"
 #include "sardinelead/evacuation_filter.h"
-#include "sardinelead/flow_evidence.h"
 #include "sardinelead/flow_placement.h"
 #include "sardinelead/queued_flows.h"
 #include "sardinelead/read_progress.h"
@@ -122,7 +127,8 @@
   kNoTarget,      // The pool has no usable target.
   kEvacuated,     // All usable targets are in evacuated data centres.
   kUnknownCookie,  // No known start of a target has this cookie.
-  kTargetEnded,    // Another process has the address of the flow's target.
+  kTargetEnded,    // By the cookie, with a copy to the process that seems to
+                   // have taken the place of the flow's target.
   kNotReady,       // No route table received yet.
   kLinkFull,       // This VM's link cannot carry the new flow in time.
   kWarmUpLimit,    // Only targets that are warming up are left, and their share
@@ -131,6 +137,17 @@
 };
 const char* Name(ForwardReason reason);
 
+// A copy of a packet for the process that may have taken the place of the
+// flow's target.
+struct PacketCopy {
+  std::uint64_t target = 0;
+  Endpoint address;
+  // The start of the flow's target and of this process, in Unix milliseconds by
+  // their own clocks.
+  std::uint64_t started_ms = 0;
+  std::uint64_t successor_started_ms = 0;
+};
+
 struct Forwarding {
   ForwardAction action = ForwardAction::kDrop;
   ForwardReason reason = ForwardReason::kNotReady;
@@ -140,8 +157,8 @@
   std::uint32_t cookie = 0;  // To write into the packet.
   // For kReset: a sequence number that the caller accepts.
   std::uint32_t reset_sequence = 0;
-  // Set if a flow that may be open is reset.
-  std::optional<FlowEvidence> evidence;
+  // For kForward: the process that gets a copy of the packet, if any.
+  std::optional<PacketCopy> copy;
 };
 
 // A change in the health state of a target, for logs.
@@ -273,9 +290,8 @@
   // nothing about targets.
   void OnPacketsDropped() { m_progress.OnPacketsDropped(); }
   // Removes idle flow records, times out requests and reports health changes of
-  // targets. Returns the resets of the flows of targets whose address another
-  // process has. Call every 250 ms.
-  std::vector<Forwarding> Sweep(TimePoint now);
+  // targets. Call every 250 ms.
+  void Sweep(TimePoint now);
 
   std::size_t flow_count() const { return m_flows.size(); }       // NOLINT
   const FlowPlacement& placement() const { return m_placement; }  // NOLINT
@@ -325,8 +341,8 @@
                      TimePoint now);
   Forwarding ForwardCopy(const FlowPacket& packet, Flow* flow, TimePoint now);
   Forwarding ForwardEstablished(const FlowPacket& packet, TimePoint now);
-  bool HasEnded(const TargetDirectory::Entry& entry) const;
-  FlowEvidence EvidenceOfEnd(const TargetDirectory::Entry& entry) const;
+  std::optional<TargetDirectory::Start> FindSuccessor(
+      const TargetDirectory::Start& start) const;
   Forwarding ForwardTo(const TargetDirectory::Entry& entry, const FlowKey& key,
                        ForwardReason reason) const;
   Forwarding Drop(const FlowPacket& packet, ForwardReason reason) const;
@@ -355,7 +371,6 @@
   void OnRequestSent(const FlowKey& key, Flow* flow, TimePoint now);
   void EndRequest(Flow* flow);
   void ExpireFlows(TimePoint now);
-  std::vector<Forwarding> ResetFlowsOfEndedTargets();
   void ReportHealthChanges(TimePoint now);
   void ReportHealth(TargetHealthEvent health_event,
                     const TargetDirectory::Entry& entry, TimePoint now) const;
@@ -375,7 +390,6 @@
   QueuedFlows m_queued;
   std::set<std::uint64_t> m_lost;    // Targets last reported as lost.
   std::set<std::uint64_t> m_silent;  // Targets last reported as silent.
-  std::set<std::uint64_t> m_ended;   // Ended targets whose flows were reset.
   TimePoint m_health_reported_at;
   // Targets that may take new flows, by pool; rebuilt periodically.
   std::unordered_map<std::string, std::vector<PlacementTarget>> m_targets;
--- a/include/sardinelead/target_directory.h
+++ b/include/sardinelead/target_directory.h
@@ -130,9 +130,11 @@
     return m_entries;
   }
   const Entry* Find(std::uint64_t number) const;
-  // Returns a target that started later and has the address of `entry`, so that
-  // the process of `entry` is gone, or nullptr.
-  const Entry* FindSuccessor(const Entry& entry) const;
+  // Returns the process that has taken the place of this start, as far as the
+  // announced start times tell: the latest other target of a configured pool at
+  // its address, else a later start of its target. Start times are by the
+  // clocks of the targets' VMs, and either process may be the one that exists.
+  std::optional<Start> FindSuccessor(const Start& start) const;
   // Returns the start that this cookie names, or nothing if it is not known. If
   // several share the cookie, prefers the present start of a target that has
   // not ended. An earlier start at the address of the present one is returned
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -237,26 +237,13 @@
   return out;
 }
 
-// Whether the target's process is gone for certain. One that has announced its
-// end may take any time to exit, and one that has started again under its
-// number may not be known here yet.
-bool CookieBalancer::HasEnded(const TargetDirectory::Entry& entry) const {
-  return entry.announcement.state == AnnouncedState::kEnded &&
-         m_directory->FindSuccessor(entry) != nullptr;
-}
-
-FlowEvidence CookieBalancer::EvidenceOfEnd(
-    const TargetDirectory::Entry& entry) const {
-  FlowEvidence evidence;
-  evidence.target = entry.announcement.number;
-  evidence.started_ms = entry.announcement.started_ms;
-  evidence.ended_for = m_hooks.covered_time() - entry.ended_at;
-  const TargetDirectory::Entry* successor = m_directory->FindSuccessor(entry);
-  if (successor != nullptr) {
-    evidence.successor = successor->announcement.number;
-    evidence.successor_started_ms = successor->announcement.started_ms;
-  }
-  return evidence;
+// Costs nothing for the present start of a target that has not ended.
+std::optional<TargetDirectory::Start> CookieBalancer::FindSuccessor(
+    const TargetDirectory::Start& start) const {
+  const TargetAnnouncement& present = start.entry->announcement;
+  const bool may_have_ended = present.state == AnnouncedState::kEnded ||
+                              present.started_ms != start.started_ms;
+  return may_have_ended ? m_directory->FindSuccessor(start) : std::nullopt;
 }
 
 Forwarding CookieBalancer::ForwardEstablished(const FlowPacket& packet,
@@ -269,19 +256,20 @@
     if (packet.cookie != 0) out.action = ForwardAction::kHold;
     return out;
   }
-  const TargetDirectory::Entry& entry = *start->entry;
-  const bool is_present = start->started_ms == entry.announcement.started_ms;
-  if (is_present && HasEnded(entry) && !packet.resets) {
-    Forwarding out = MakeReset(packet, ForwardReason::kTargetEnded);
-    out.evidence = EvidenceOfEnd(entry);
-    RemoveFlow(packet.flow);
-    return out;
-  }
-  const std::uint64_t target = entry.announcement.number;
-  const ForwardReason reason = UpdateFlow(packet, target, now);
-  Forwarding out = ForwardTo(entry, packet.flow, reason);
+  const std::uint64_t target = start->entry->announcement.number;
+  Forwarding out = ForwardTo(*start->entry, packet.flow, {});
   out.address = start->address;
   out.cookie = CookieOf(target, start->started_ms);
+  const auto successor = FindSuccessor(*start);
+  if (!successor || packet.resets) {
+    out.reason = UpdateFlow(packet, target, now);
+    return out;
+  }
+  RemoveFlow(packet.flow);  // It counts as load of neither process.
+  out.reason = ForwardReason::kTargetEnded;
+  out.copy =
+      PacketCopy{successor->entry->announcement.number, successor->address,
+                 start->started_ms, successor->started_ms};
   return out;
 }
 
@@ -436,37 +424,10 @@
   return m_targets[pool];
 }
 
-std::vector<Forwarding> CookieBalancer::Sweep(TimePoint now) {
+void CookieBalancer::Sweep(TimePoint now) {
   if (now - m_health_reported_at >= kReportInterval) ReportHealthChanges(now);
   ExpireFlows(now);
   m_warm_up_limiter.RemoveIdle(now);
-  return ResetFlowsOfEndedTargets();
-}
-
-// Lets callers of an ended target open another flow before their next request.
-std::vector<Forwarding> CookieBalancer::ResetFlowsOfEndedTargets() {
-  std::set<std::uint64_t> ended;
-  std::set<std::uint64_t> newly_ended;
-  for (const auto& [number, entry] : m_directory->entries()) {
-    if (!HasEnded(entry)) continue;
-    ended.insert(number);
-    if (m_ended.count(number) == 0) newly_ended.insert(number);
-  }
-  m_ended = std::move(ended);
-  std::vector<Forwarding> out;
-  if (newly_ended.empty()) return out;
-  for (const auto& [key, flow] : m_flows) {
-    if (!flow.is_open || newly_ended.count(flow.target) == 0) continue;
-    Forwarding reset;
-    reset.action = ForwardAction::kReset;
-    reset.reason = ForwardReason::kTargetEnded;
-    reset.flow = key;
-    reset.reset_sequence = flow.acknowledged;
-    reset.evidence = EvidenceOfEnd(*m_directory->Find(flow.target));
-    out.push_back(reset);
-  }
-  for (const Forwarding& reset : out) RemoveFlow(reset.flow);
-  return out;
 }
 
 void CookieBalancer::ExpireFlows(TimePoint now) {
--- a/src/paced_sender.cc
+++ b/src/paced_sender.cc
@@ -13,6 +13,7 @@
 constexpr std::uint8_t kFinishes = 2;
 constexpr std::uint8_t kResets = 4;
 constexpr std::uint8_t kToCaller = 8;
+constexpr std::uint8_t kToSuccessor = 16;
 
 // A datagram of this size is the largest that callers send.
 constexpr std::size_t kLargeDatagram = 1240;
@@ -27,6 +28,7 @@
 
 // Whether the packet is reported to the balancer. No target answers the others.
 bool IsReported(const ScheduledPacket& packet) {
+  if ((packet.flags & kToSuccessor) != 0) return false;
   return (packet.flags & kOpens) != 0 || packet.length > 0;
 }
 
@@ -70,6 +72,23 @@
   if (PassesIdleLink(head.size + body.size, now)) {
     return m_hooks.send(to, head, body);
   }
+  m_now = now;
+  if (packet.resets) m_scheduler.RemoveFlow(packet.flow);
+  Schedule(Describe(packet), to, head, body, now);
+}
+
+void PacedSender::ForwardCopy(const FlowPacket& packet, const Endpoint& to,
+                              ByteView head, ByteView body, TimePoint now) {
+  if (PassesIdleLink(head.size + body.size, now)) {
+    return m_hooks.send(to, head, body);
+  }
+  m_now = now;
+  ScheduledPacket scheduled = Describe(packet);
+  scheduled.flags |= kToSuccessor;
+  Schedule(scheduled, to, head, body, now);
+}
+
+ScheduledPacket PacedSender::Describe(const FlowPacket& packet) const {
   const Route* route = m_balancer->routes().Find(packet.flow.service);
   ScheduledPacket scheduled;
   scheduled.flow = packet.flow;
@@ -88,9 +107,7 @@
     scheduled.priority = route->priority;
     scheduled.max_wait = std::chrono::milliseconds(route->timeout_ms);
   }
-  m_now = now;
-  if (packet.resets) m_scheduler.RemoveFlow(packet.flow);
-  Schedule(scheduled, to, head, body, now);
+  return scheduled;
 }
 
 void PacedSender::Reset(const Forwarding& reset, const Endpoint& to,
@@ -104,9 +121,6 @@
   scheduled.flags = kResets | kToCaller;
   scheduled.is_urgent = true;
   m_now = now;
-  if (reset.reason == ForwardReason::kTargetEnded) {
-    m_scheduler.RemoveFlow(reset.flow);
-  }
   Schedule(scheduled, to, datagram, {}, now);
 }
 
--- a/src/paced_sender.h
+++ b/src/paced_sender.h
@@ -62,6 +62,9 @@
   // balancer's next OnPacket().
   void Forward(const FlowPacket& packet, const Endpoint& to, ByteView head,
                ByteView body, TimePoint now);
+  // Forwards a copy of a packet to another process than the flow's target.
+  void ForwardCopy(const FlowPacket& packet, const Endpoint& to, ByteView head,
+                   ByteView body, TimePoint now);
   // Sends a reset to a caller.
   void Reset(const Forwarding& reset, const Endpoint& to, ByteView datagram,
              TimePoint now);
@@ -107,6 +110,7 @@
 
   static LinkModelSettings MakeLinkSettings(std::uint64_t capacity);
   PacketSchedulerHooks SchedulerHooks();
+  ScheduledPacket Describe(const FlowPacket& packet) const;
   bool PassesIdleLink(std::size_t bytes, TimePoint now);
   void Schedule(const ScheduledPacket& packet, const Endpoint& to,
                 ByteView head, ByteView body, TimePoint now);
--- a/src/target_directory.cc
+++ b/src/target_directory.cc
@@ -270,17 +270,22 @@
   return found == m_entries.end() ? nullptr : &found->second;
 }
 
-const TargetDirectory::Entry* TargetDirectory::FindSuccessor(
-    const Entry& entry) const {
-  const auto [begin, end] =
-      m_by_address.equal_range(entry.announcement.address);
+std::optional<TargetDirectory::Start> TargetDirectory::FindSuccessor(
+    const Start& start) const {
+  std::optional<Start> latest;
+  const auto [begin, end] = m_by_address.equal_range(start.address);
   for (auto it = begin; it != end; ++it) {
     const Entry& other = m_entries.at(it->second);
+    const std::uint64_t started_ms = other.announcement.started_ms;
     const bool is_later =
-        other.announcement.started_ms > entry.announcement.started_ms;
-    if (is_later && IsConfigured(other.announcement)) return &other;
+        started_ms > (latest ? latest->started_ms : start.started_ms);
+    const bool is_successor =
+        &other != start.entry && is_later && IsConfigured(other.announcement);
+    if (is_successor) latest = Start{&other, started_ms, start.address};
   }
-  return nullptr;
+  const TargetAnnouncement& present = start.entry->announcement;
+  if (latest || present.started_ms <= start.started_ms) return latest;
+  return Start{start.entry, present.started_ms, present.address};
 }
 
 std::optional<TargetDirectory::Start> TargetDirectory::FindByCookie(
--- a/tests/paced_sender_test.cc
+++ b/tests/paced_sender_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(BurstOfUploadsIsSentAtTheRateOfTheLink);
   CPPUNIT_TEST(CopiesBehindABurstMarkNoTargetLost);
   CPPUNIT_TEST(FinStaysBehindItsDataAndAResetDropsIt);
+  CPPUNIT_TEST(CopyForASuccessorIsAPacketOfItsOwn);
   CPPUNIT_TEST(LaterAcknowledgementIsNoCopy);
   CPPUNIT_TEST(OtherTrafficDelaysPackets);
   CPPUNIT_TEST(BacklogRefusesUploadsOnly);
@@ -102,6 +103,24 @@
     CPPUNIT_ASSERT(!m_balancer.HasQueued(reset.flow));
   }
 
+  // Guards against a packet that is lost because its copy for another process
+  // waits, or the other way round, and against a copy that counts as another
+  // request of the flow's target.
+  void CopyForASuccessorIsAPacketOfItsOwn() {
+    Start(kOfNarrowLink);
+    m_paced->OnOtherTraffic(20'000, m_now);
+    const FlowPacket packet = Data(1, CookieOf(1), 300);
+    Send(packet);
+    const Bytes head{0};  // Names the packet that was sent first.
+    const Bytes body(300);
+    m_paced->ForwardCopy(packet, *Endpoint::Parse("10.0.0.1:80"), head, body,
+                         m_now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_paced->queued_packets());
+    RunUntilIdle();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_sent.size());
+    CPPUNIT_ASSERT(!m_balancer.HasQueued(packet.flow));
+  }
+
   // Guards against a caller's acknowledgement that is lost because an earlier
   // one waits.
   void LaterAcknowledgementIsNoCopy() {
