Tests: targets start again under their numbers while balancers learn late

Now each balancer learns of each announcement up to 3 s late, targets end, start again on another VM and leave their addresses to others, and the VMs' clocks differ by up to 2.4 s.

--- a/tests/flow_ownership_test.cc
+++ b/tests/flow_ownership_test.cc
@@ -1,12 +1,15 @@
 // Callers, routers, balancers and targets in virtual time, by the protocol of
 // the users' platform: which target gets the packets of an open flow, and who
 // resets it. Balancers exchange nothing; the routers move flows between them at
-// any time, and targets answer as late as they like.
+// any time, and targets answer as late as they like. Targets start again under
+// their numbers or leave their addresses to others, by clocks that differ, and
+// each balancer learns that as late as it likes.
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
@@ -26,6 +29,10 @@
 const Endpoint kService = *Endpoint::Parse("198.18.0.1:8443");
 constexpr std::size_t kBalancers = 3;
 constexpr std::size_t kTargets = 4;
+constexpr std::size_t kVms = 6;  // With an address for a target each.
+constexpr std::size_t kNone = std::numeric_limits<std::size_t>::max();
+constexpr Duration kLongestAbsence = milliseconds(800);
+constexpr Duration kLongestHold = milliseconds(1200);
 constexpr std::uint16_t kCallers = 40;
 constexpr std::uint16_t kRequestBytes = 300;
 constexpr std::uint16_t kAnswerBytes = 600;
@@ -44,21 +51,42 @@
   // The routers move all flows at intervals up to this one.
   Duration move_interval = milliseconds(500);
   int loss_percent = 0;
+  // Targets end and start at intervals up to this one, 0 for never.
+  Duration restart_interval{0};
+  // Each balancer learns of each announcement up to this much late.
+  Duration feed_delay{0};
+  // The clocks of the targets' VMs differ by up to this much.
+  Duration clock_difference{0};
 };
 
+// One start of a target.
+struct Process {
+  std::uint64_t number = 0;
+  std::uint64_t started_ms = 0;
+  Endpoint address;
+  bool is_running = true;
+};
+
+Endpoint AddressOf(std::size_t vm) {
+  return {IpAddress::FromV4(0x0a000001 + static_cast<std::uint32_t>(vm)), 80};
+}
+
 class FlowWorld {
  public:
   explicit FlowWorld(const Scenario& scenario)
       : m_scenario(scenario), m_random(scenario.seed) {
     const RouteTable table = MakeSingleRoute(kService);
-    m_directory.SetPools(table.PoolNames(), m_now);
-    for (std::uint64_t number = 1; number <= kTargets; ++number) {
-      AnnounceTarget(number);
-    }
     for (std::size_t i = 0; i < kBalancers; ++i) {
-      m_balancers.push_back(MakeBalancer());
-      m_balancers.back()->SetRoutes(table);
+      m_nodes.push_back(std::make_unique<Node>());
+      m_nodes.back()->directory.SetPools(table.PoolNames(), m_now);
+      m_nodes.back()->balancer = MakeBalancer(&m_nodes.back()->directory);
+      m_nodes.back()->balancer->SetRoutes(table);
+    }
+    for (std::size_t vm = 0; vm < kVms; ++vm) {
+      m_clocks.push_back(UpTo(m_scenario.clock_difference));
     }
+    for (std::size_t vm = 0; vm < kTargets; ++vm) StartProcess(++m_number, vm);
+    if (m_scenario.restart_interval > Duration{0}) RestartTargets();
     for (std::uint16_t i = 0; i < kCallers; ++i) {
       After(UpTo(milliseconds(1000)), [this] { OpenFlow(); });
     }
@@ -88,7 +116,8 @@
     std::uint32_t sequence = 0;
     std::uint32_t acknowledged = 0;
     std::uint32_t cookie = 0;  // The last one received on the flow.
-    std::uint64_t target = 0;  // Whose answer opened the flow, for the caller.
+    // Whose answer opened the flow, for the caller.
+    std::size_t process = kNone;
     bool is_open = false;
     bool is_over = false;
     bool is_acknowledged = true;  // Its request, by the target.
@@ -104,28 +133,114 @@
     int retransmissions = 0;
   };
 
-  std::unique_ptr<CookieBalancer> MakeBalancer() {
+  struct Node {
+    TargetDirectory directory;
+    std::unique_ptr<CookieBalancer> balancer;
+    std::vector<std::pair<TimePoint, FlowPacket>> held;
+  };
+
+  std::unique_ptr<CookieBalancer> MakeBalancer(TargetDirectory* directory) {
     CookieBalancerSettings settings;
     settings.data_centre = "a";
     return std::make_unique<CookieBalancer>(
-        settings, &m_directory,
+        settings, directory,
         CookieBalancer::Hooks{
             [this] { return m_random(); }, [this] { return m_now; },
             [] { return kBalancers; }, [] { return false; },
             [](const TargetHealthReport&) {}, [](const FlowTiming&) {}});
   }
 
-  void AnnounceTarget(std::uint64_t number) {
+  void StartProcess(std::uint64_t number, std::size_t vm) {
+    Process process;
+    process.number = number;
+    process.address = AddressOf(vm);
+    const Duration clock = m_now.time_since_epoch() + m_clocks[vm];
+    process.started_ms = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(clock).count());
+    m_processes.push_back(process);
+    Announce(m_processes.size() - 1);
+  }
+
+  void Announce(std::size_t place) {
+    const Process& process = m_processes[place];
+    if (!process.is_running) return;
     TargetAnnouncement announcement;
-    announcement.number = number;
-    announcement.started_ms = 1;
+    announcement.number = process.number;
+    announcement.started_ms = process.started_ms;
     announcement.sequence = ++m_heartbeats;
     announcement.pool = "orders";
-    announcement.address = {
-        IpAddress::FromV4(0x0a000000 + static_cast<std::uint32_t>(number)), 80};
+    announcement.address = process.address;
     announcement.data_centre = "a";
-    m_directory.Take(announcement, m_now);
-    After(milliseconds(700), [this, number] { AnnounceTarget(number); });
+    for (const auto& node : m_nodes) {
+      After(UpTo(m_scenario.feed_delay), [this, announcement, &node = *node] {
+        node.directory.Take(announcement, m_now);
+        RetryHeld(&node);
+      });
+    }
+    After(milliseconds(700), [this, place] { Announce(place); });
+  }
+
+  // A target ends. It starts again on another VM, and another target gets its
+  // address, both after a while.
+  void RestartTargets() {
+    std::vector<std::size_t> running;
+    std::vector<std::size_t> vms;
+    for (std::size_t i = 0; i < m_processes.size(); ++i) {
+      if (m_processes[i].is_running) running.push_back(i);
+    }
+    for (std::size_t vm = 0; vm < kVms; ++vm) {
+      if (!IsTaken(AddressOf(vm))) vms.push_back(vm);
+    }
+    if (running.size() > kTargets / 2 && !vms.empty()) {
+      Process& ended = m_processes[running[m_random() % running.size()]];
+      ended.is_running = false;
+      const std::uint64_t number = ended.number;
+      const std::size_t vm = vms[m_random() % vms.size()];
+      After(UpTo(kLongestAbsence), [this, number, vm] {
+        if (!IsTaken(AddressOf(vm))) StartProcess(number, vm);
+      });
+      After(UpTo(kLongestAbsence), [this, address = ended.address] {
+        for (std::size_t vm = 0; vm < kVms; ++vm) {
+          const bool is_free = AddressOf(vm) == address && !IsTaken(address);
+          if (is_free) StartProcess(++m_number, vm);
+        }
+      });
+    }
+    After(UpTo(m_scenario.restart_interval), [this] { RestartTargets(); });
+  }
+
+  bool IsTaken(const Endpoint& address) const {
+    return std::any_of(
+        m_processes.begin(), m_processes.end(), [&](const Process& process) {
+          return process.is_running && process.address == address;
+        });
+  }
+
+  // Returns the process that takes a packet, or kNone.
+  std::size_t Receiver(std::uint64_t number, const Endpoint& address) const {
+    for (std::size_t i = 0; i < m_processes.size(); ++i) {
+      const Process& process = m_processes[i];
+      const bool is_receiver = process.is_running && process.number == number &&
+                               process.address == address;
+      if (is_receiver) return i;
+    }
+    return kNone;
+  }
+
+  void RetryHeld(Node* node) {
+    const auto held = std::exchange(node->held, {});
+    for (const auto& [at, packet] : held) {
+      if (m_now - at <= kLongestHold) OnPacket(node, packet, at);
+    }
+  }
+
+  // `arrived_at` may be earlier than now.
+  void OnPacket(Node* node, const FlowPacket& packet, TimePoint arrived_at) {
+    const Forwarding out = node->balancer->OnPacket(packet, m_now);
+    if (out.action == ForwardAction::kHold) {
+      node->held.emplace_back(arrived_at, packet);
+    }
+    Apply(out, packet);
   }
 
   void After(Duration delay, std::function<void()> action) {
@@ -146,9 +261,9 @@
   }
 
   void ReadSockets() {
-    for (const auto& balancer : m_balancers) {
-      balancer->OnDrained(m_now, m_now);
-      balancer->Sweep(m_now);
+    for (const auto& node : m_nodes) {
+      node->balancer->OnDrained(m_now, m_now);
+      node->balancer->Sweep(m_now);
     }
     After(milliseconds(5), [this] { ReadSockets(); });
   }
@@ -171,7 +286,7 @@
     if (IsLost()) return;
     const std::size_t place = (packet.flow.Hash() + m_moves) % kBalancers;
     After(m_scenario.caller_delay, [this, packet, place] {
-      Apply(m_balancers[place]->OnPacket(packet, m_now), packet);
+      OnPacket(m_nodes[place].get(), packet, m_now);
     });
   }
 
@@ -234,14 +349,14 @@
   }
 
   // The caller gets a packet of a target with the cookie that this has.
-  void TakeOpeningAnswer(std::uint16_t port, std::uint64_t target,
+  void TakeOpeningAnswer(std::uint16_t port, std::size_t process,
                          std::uint32_t sequence, std::uint32_t cookie) {
     Caller& caller = m_callers[port];
     if (caller.is_over) return;
     caller.cookie = cookie;
     if (caller.is_open) return;
     caller.is_open = true;
-    caller.target = target;
+    caller.process = process;
     caller.sequence += 1;
     caller.acknowledged = sequence + 1;
     SendToBalancer(MakePacket(port));
@@ -264,48 +379,64 @@
     After(UpTo(milliseconds(600)), [this, port] { StartRequest(port); });
   }
 
-  // `sender` is a target, or 0 for a balancer.
-  void TakeReset(std::uint16_t port, std::uint64_t sender) {
+  // `sender` is a process, or kNone for a balancer.
+  void TakeReset(std::uint16_t port, std::size_t sender) {
     Caller& caller = m_callers[port];
     if (caller.is_over) return;
-    const auto held = m_held.find({caller.target, port});
-    const bool is_open =
-        caller.is_open && held != m_held.end() && held->second.is_open;
-    if (is_open && sender != caller.target) ++m_resets;
+    if (IsOpen(port) && sender != caller.process) ++m_resets;
     caller.is_open = false;
     EndFlow(port);
   }
 
+  // Whether the caller has a flow that is open at a running process.
+  bool IsOpen(std::uint16_t port) {
+    const Caller& caller = m_callers[port];
+    if (!caller.is_open || !m_processes[caller.process].is_running)
+      return false;
+    const auto held = m_held.find({caller.process, port});
+    return held != m_held.end() && held->second.is_open;
+  }
+
   // Balancers.
 
   void Apply(const Forwarding& out, const FlowPacket& packet) {
     const std::uint16_t port = out.flow.caller.port;
     if (out.action == ForwardAction::kReset) {
-      After(m_scenario.caller_delay, [this, port] { TakeReset(port, 0); });
+      After(m_scenario.caller_delay, [this, port] { TakeReset(port, kNone); });
     }
     if (out.action != ForwardAction::kForward || IsLost()) return;
+    if (!packet.opens) CountIfMisdirected(port, out);
+    SendToTarget(out.target, out.address, packet, out.cookie);
+    if (!out.copy) return;
+    SendToTarget(out.copy->target, out.copy->address, packet, out.cookie);
+  }
+
+  void SendToTarget(std::uint64_t number, const Endpoint& address,
+                    const FlowPacket& packet, std::uint32_t cookie) {
     After(milliseconds(1) + UpTo(m_scenario.target_delay),
-          [this, out, packet] { DeliverToTarget(out, packet); });
+          [this, number, address, packet, cookie] {
+            const std::size_t process = Receiver(number, address);
+            if (process != kNone) DeliverToTarget(process, packet, cookie);
+          });
   }
 
   // Targets.
 
-  void DeliverToTarget(const Forwarding& out, const FlowPacket& packet) {
+  void DeliverToTarget(std::size_t process, const FlowPacket& packet,
+                       std::uint32_t cookie) {
     const std::uint16_t port = packet.flow.caller.port;
-    if (packet.opens) return TakeOpening(out.target, port, packet, out.cookie);
-    CountIfMisdirected(port, out.target);
-    const auto found = m_held.find({out.target, port});
+    if (packet.opens) return TakeOpening(process, port, packet, cookie);
+    const auto found = m_held.find({process, port});
     const bool is_held = found != m_held.end() &&
                          (found->second.is_open ||
                           packet.acknowledged == found->second.sequence + 1);
     if (!is_held) {
       if (packet.resets) return;
-      return ToCaller(
-          [this, port, target = out.target] { TakeReset(port, target); });
+      return ToCaller([this, port, process] { TakeReset(port, process); });
     }
     HeldFlow& flow = found->second;
     flow.is_open = true;
-    flow.cookie = out.cookie;
+    flow.cookie = cookie;
     if (packet.finishes) {
       m_held.erase(found);
       return;
@@ -317,15 +448,13 @@
     });
   }
 
-  void CountIfMisdirected(std::uint16_t port, std::uint64_t target) {
-    const Caller& caller = m_callers[port];
-    const auto own = m_held.find({caller.target, port});
-    const bool is_misdirected = caller.is_open && target != caller.target &&
-                                own != m_held.end() && own->second.is_open;
-    if (is_misdirected) ++m_misdirected;
+  void CountIfMisdirected(std::uint16_t port, const Forwarding& out) {
+    if (!IsOpen(port)) return;
+    const Process& own = m_processes[m_callers[port].process];
+    if (out.target != own.number || out.address != own.address) ++m_misdirected;
   }
 
-  void TakeOpening(std::uint64_t target, std::uint16_t port,
+  void TakeOpening(std::size_t target, std::uint16_t port,
                    const FlowPacket& packet, std::uint32_t cookie) {
     const auto [found, is_new] =
         m_held.try_emplace(std::make_pair(target, port));
@@ -340,7 +469,7 @@
     });
   }
 
-  void SendOpeningAnswer(std::uint64_t target, std::uint16_t port) {
+  void SendOpeningAnswer(std::size_t target, std::uint16_t port) {
     const HeldFlow& flow = m_held.at({target, port});
     ToCaller(
         [this, target, port, sequence = flow.sequence, cookie = flow.cookie] {
@@ -348,10 +477,11 @@
         });
   }
 
-  void RetransmitOpeningAnswer(std::uint64_t target, std::uint16_t port,
+  void RetransmitOpeningAnswer(std::size_t target, std::uint16_t port,
                                Duration wait) {
     const auto found = m_held.find({target, port});
     if (found == m_held.end() || found->second.is_open) return;
+    if (!m_processes[target].is_running) return;
     if (found->second.retransmissions++ == kMaxRetransmissions) {
       m_held.erase(found);
       return;
@@ -375,11 +505,13 @@
   std::uint64_t m_moves = 0;
   std::uint64_t m_heartbeats = 0;
   std::uint16_t m_last_port = 0;
-  TargetDirectory m_directory;
-  std::vector<std::unique_ptr<CookieBalancer>> m_balancers;
+  std::uint64_t m_number = 0;        // Of the latest new target.
+  std::vector<Duration> m_clocks;    // By VM.
+  std::vector<Process> m_processes;  // Of targets, also those that ended.
+  std::vector<std::unique_ptr<Node>> m_nodes;
   std::map<std::uint16_t, Caller> m_callers;  // By port.
-  // By target and caller's port.
-  std::map<std::pair<std::uint64_t, std::uint16_t>, HeldFlow> m_held;
+  // By process and caller's port.
+  std::map<std::pair<std::size_t, std::uint16_t>, HeldFlow> m_held;
   std::size_t m_resets = 0;
   std::size_t m_misdirected = 0;
   std::size_t m_answered = 0;
@@ -391,6 +523,7 @@
   CPPUNIT_TEST(DistantCallersLoseNoOpenFlow);
   CPPUNIT_TEST(LostPacketsLoseNoOpenFlow);
   CPPUNIT_TEST(PausedTargetsLoseNoOpenFlow);
+  CPPUNIT_TEST(LateKnowledgeLosesNoOpenFlow);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -424,6 +557,20 @@
     }
   }
 
+  // Guards against resets, and packets to another target, by balancers that
+  // know a target's start, its successor or its clock late or wrongly.
+  void LateKnowledgeLosesNoOpenFlow() {
+    for (const int clock_ms : {0, 2400}) {
+      for (const int delay_ms : {0, 300, 3000}) {
+        Scenario scenario;
+        scenario.restart_interval = milliseconds(1500);
+        scenario.feed_delay = milliseconds(delay_ms);
+        scenario.clock_difference = milliseconds(clock_ms);
+        AssertFlowsStay(scenario);
+      }
+    }
+  }
+
   // Guards against resets of the flows of a target that acknowledges nothing
   // for seconds, as one that gets no processor.
   void PausedTargetsLoseNoOpenFlow() {
@@ -457,7 +604,9 @@
     return "seed " + std::to_string(scenario.seed) + ", targets up to " +
            ms(scenario.target_delay) + " ms late, callers " +
            ms(scenario.caller_delay) + " ms away, " +
-           std::to_string(scenario.loss_percent) + " % lost";
+           std::to_string(scenario.loss_percent) + " % lost, feed up to " +
+           ms(scenario.feed_delay) + " ms late, clocks up to " +
+           ms(scenario.clock_difference) + " ms apart";
   }
 };
 
