Idle flows of a replaced target are probed, so that callers learn of its end

Cause: only a packet of the caller, then copied to the other target, could end the flow, and the first one is the next request.

Change: balancers keep the last packet without data (at most 40 bytes) of each open flow, and when another process becomes known in the place of the flow's target, send that packet to it. It does not hold the flow and resets it; if the flow's target exists after all, that ignores the packet, as it is for another number.

Why it is right: the caller's packet is repeated as the network may repeat it, and the process that exists decides, as for the other copies.

Tests: CookieBalancerTest::IdleFlowsOfAnEndedTargetAreProbedOnce; the world of FlowOwnershipTest delivers probes.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -37,7 +37,9 @@
 // flow's target, by the announced start times, the packet goes to the target as
 // before, and a copy goes to that process. Each is addressed by its number, so
 // only the one that exists takes it. If it is the target, the flow goes on; if
-// it is the other process, that resets the flow.
+// it is the other process, that resets the flow. Callers that are idle learn of
+// it before their next request: when the other process becomes known, it gets a
+// copy of the last packet without data of each open flow.
 //
 // A target whose callers retransmit requests gets no new flows while it answers
 // none. Answers do not pass through the balancer, so retransmissions are the
@@ -66,6 +68,7 @@
 // packet also costs one pass over the pool's targets. Memory: about 150 bytes
 // per recently seen flow.
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -73,6 +76,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "sardinelead/error.h"
@@ -104,6 +108,7 @@
   // The packet was held by this process, so it arrived earlier than the packets
   // read with it.
   bool is_held = false;
+  ByteView bytes;  // As received; empty if unknown. See FlowProbe.
 };
 
 enum class ForwardAction : std::uint8_t {
@@ -148,6 +153,15 @@
   std::uint64_t successor_started_ms = 0;
 };
 
+// A packet of an open flow that was forwarded before and goes to the process
+// that may have taken the place of the flow's target.
+struct FlowProbe {
+  FlowKey flow;
+  PacketCopy copy;
+  std::uint32_t cookie = 0;
+  Bytes packet;
+};
+
 struct Forwarding {
   ForwardAction action = ForwardAction::kDrop;
   ForwardReason reason = ForwardReason::kNotReady;
@@ -290,8 +304,9 @@
   // nothing about targets.
   void OnPacketsDropped() { m_progress.OnPacketsDropped(); }
   // Removes idle flow records, times out requests and reports health changes of
-  // targets. Call every 250 ms.
-  void Sweep(TimePoint now);
+  // targets. Returns the probes of open flows whose target another process has
+  // replaced since the last call. Call every 250 ms.
+  std::vector<FlowProbe> Sweep(TimePoint now);
 
   std::size_t flow_count() const { return m_flows.size(); }       // NOLINT
   const FlowPlacement& placement() const { return m_placement; }  // NOLINT
@@ -306,6 +321,10 @@
   }
 
  private:
+  // A header of the platform's packets, or of IP and TCP, fits in.
+  static constexpr std::size_t kMaxProbeBytes = 40;
+  using StartKey = std::pair<std::uint64_t, std::uint64_t>;  // Number, start.
+
   struct Flow {
     std::uint64_t target = 0;
     // The sequence number of the opening packet, if the flow was placed here.
@@ -321,6 +340,10 @@
     // Packets that the queue for the link dropped and that the caller has not
     // sent again.
     std::uint8_t dropped_here = 0;
+    std::uint32_t cookie = 0;  // As last returned by the caller.
+    // The caller's last packet without data, if it is no larger than this.
+    std::array<std::uint8_t, kMaxProbeBytes> last_bare{};
+    std::uint8_t last_bare_bytes = 0;
     std::uint32_t request_bytes = 0;  // Of the latest request, without copies.
     std::uint32_t acknowledged = 0;
     std::uint32_t data_end = 0;  // Sequence number after the last data byte.
@@ -343,6 +366,11 @@
   Forwarding ForwardEstablished(const FlowPacket& packet, TimePoint now);
   std::optional<TargetDirectory::Start> FindSuccessor(
       const TargetDirectory::Start& start) const;
+  static PacketCopy CopyFor(const TargetDirectory::Start& start,
+                            const TargetDirectory::Start& successor);
+  static void KeepBarePacket(const FlowPacket& packet, Flow* flow);
+  std::set<StartKey> ReplacedStarts() const;
+  std::vector<FlowProbe> ProbeFlowsOfReplacedStarts();
   Forwarding ForwardTo(const TargetDirectory::Entry& entry, const FlowKey& key,
                        ForwardReason reason) const;
   Forwarding Drop(const FlowPacket& packet, ForwardReason reason) const;
@@ -388,8 +416,10 @@
   std::unordered_map<FlowKey, Flow, HashFlowKey> m_flows;
   ReadProgress m_progress;
   QueuedFlows m_queued;
-  std::set<std::uint64_t> m_lost;    // Targets last reported as lost.
-  std::set<std::uint64_t> m_silent;  // Targets last reported as silent.
+  std::set<std::uint64_t> m_lost;         // Targets last reported as lost.
+  std::set<std::uint64_t> m_silent;       // Targets last reported as silent.
+  std::set<StartKey> m_replaced;          // Starts whose flows were probed.
+  std::uint64_t m_replaced_revision = 0;  // Of the directory, for m_replaced.
   TimePoint m_health_reported_at;
   // Targets that may take new flows, by pool; rebuilt periodically.
   std::unordered_map<std::string, std::vector<PlacementTarget>> m_targets;
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -267,12 +267,16 @@
   }
   RemoveFlow(packet.flow);  // It counts as load of neither process.
   out.reason = ForwardReason::kTargetEnded;
-  out.copy =
-      PacketCopy{successor->entry->announcement.number, successor->address,
-                 start->started_ms, successor->started_ms};
+  out.copy = CopyFor(*start, *successor);
   return out;
 }
 
+PacketCopy CookieBalancer::CopyFor(const TargetDirectory::Start& start,
+                                   const TargetDirectory::Start& successor) {
+  return {successor.entry->announcement.number, successor.address,
+          start.started_ms, successor.started_ms};
+}
+
 // Returns how the flow's record compares with the target that the cookie names.
 ForwardReason CookieBalancer::UpdateFlow(const FlowPacket& packet,
                                          std::uint64_t target, TimePoint now) {
@@ -299,11 +303,21 @@
   flow.seen_at = now;
   flow.is_first_send = flow.is_counted_since = false;
   if (flow.is_closed) return reason;
+  KeepBarePacket(packet, &flow);
   if (!flow.is_open) OpenFlow(packet, target, !is_new, &flow, now);
   UpdateRequestState(packet, &flow, now);
   return reason;
 }
 
+void CookieBalancer::KeepBarePacket(const FlowPacket& packet, Flow* flow) {
+  flow->cookie = packet.cookie;
+  const bool is_kept = packet.length == 0 && packet.bytes.size > 0 &&
+                       packet.bytes.size <= kMaxProbeBytes;
+  if (!is_kept) return;
+  std::copy(packet.bytes.begin(), packet.bytes.end(), flow->last_bare.begin());
+  flow->last_bare_bytes = static_cast<std::uint8_t>(packet.bytes.size);
+}
+
 void CookieBalancer::OpenFlow(const FlowPacket& packet, std::uint64_t target,
                               bool is_placed_here, Flow* flow, TimePoint now) {
   m_placement.OnOpened(target, is_placed_here, now);
@@ -424,10 +438,52 @@
   return m_targets[pool];
 }
 
-void CookieBalancer::Sweep(TimePoint now) {
+std::vector<FlowProbe> CookieBalancer::Sweep(TimePoint now) {
   if (now - m_health_reported_at >= kReportInterval) ReportHealthChanges(now);
   ExpireFlows(now);
   m_warm_up_limiter.RemoveIdle(now);
+  if (m_replaced_revision == m_directory->revision()) return {};
+  m_replaced_revision = m_directory->revision();
+  return ProbeFlowsOfReplacedStarts();
+}
+
+std::set<CookieBalancer::StartKey> CookieBalancer::ReplacedStarts() const {
+  std::set<StartKey> replaced;
+  const auto add = [&](const TargetDirectory::Start& start) {
+    if (!FindSuccessor(start)) return;
+    replaced.emplace(start.entry->announcement.number, start.started_ms);
+  };
+  for (const auto& [number, entry] : m_directory->entries()) {
+    const TargetAnnouncement& present = entry.announcement;
+    add({&entry, present.started_ms, present.address});
+    for (const TargetDirectory::OtherStart& other : entry.other_starts) {
+      add({&entry, other.started_ms, other.address});
+    }
+  }
+  return replaced;
+}
+
+std::vector<FlowProbe> CookieBalancer::ProbeFlowsOfReplacedStarts() {
+  const std::set<StartKey> probed = std::exchange(m_replaced, ReplacedStarts());
+  const bool has_new = !std::includes(probed.begin(), probed.end(),
+                                      m_replaced.begin(), m_replaced.end());
+  std::vector<FlowProbe> out;
+  if (!has_new) return out;
+  for (const auto& [key, flow] : m_flows) {
+    if (!flow.is_open || flow.last_bare_bytes == 0) continue;
+    const auto start = m_directory->FindByCookie(flow.cookie);
+    if (!start) continue;
+    const StartKey start_key{flow.target, start->started_ms};
+    const bool is_newly_replaced =
+        m_replaced.count(start_key) != 0 && probed.count(start_key) == 0;
+    if (!is_newly_replaced) continue;
+    const auto successor = FindSuccessor(*start);
+    if (!successor) continue;
+    const auto begin = flow.last_bare.begin();
+    out.push_back({key, CopyFor(*start, *successor), flow.cookie,
+                   Bytes(begin, begin + flow.last_bare_bytes)});
+  }
+  return out;
 }
 
 void CookieBalancer::ExpireFlows(TimePoint now) {
--- a/tests/cookie_balancer_test.cc
+++ b/tests/cookie_balancer_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(AnnouncedEndResetsNoFlow);
   CPPUNIT_TEST(PacketsOfAnEndedTargetAlsoGoToItsSuccessor);
   CPPUNIT_TEST(PacketsOfAnEarlierStartAlsoGoToTheLaterOne);
+  CPPUNIT_TEST(IdleFlowsOfAnEndedTargetAreProbedOnce);
   CPPUNIT_TEST(EntryOfAnUnknownPoolResetsNoFlow);
   CPPUNIT_TEST(NewFlowsWithoutARouteAreRefusedAtOnce);
   CPPUNIT_TEST(PacketsWithoutARouteAreDropped);
@@ -224,6 +225,29 @@
     CPPUNIT_ASSERT(!m_balancer.OnPacket(packet, m_now).copy.has_value());
   }
 
+  // Guards against callers that learn only with their next request, which may
+  // not be sent twice, that their target is gone.
+  void IdleFlowsOfAnEndedTargetAreProbedOnce() {
+    const Bytes bare(32, 7);
+    for (const std::uint64_t target : {1, 2}) {
+      const auto port = static_cast<std::uint16_t>(target);
+      FlowPacket packet = Data(port, CookieOf(target), 0);
+      packet.bytes = bare;
+      m_balancer.OnPacket(packet, m_now);
+    }
+    CPPUNIT_ASSERT(m_balancer.Sweep(m_now).empty());
+    AddTarget(9, "10.0.0.1:80", 500, "gallery");
+    const auto probes = m_balancer.Sweep(m_now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, probes.size());
+    CPPUNIT_ASSERT(probes[0].flow == MakeFlowKey(1, kService));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, probes[0].copy.target);
+    CPPUNIT_ASSERT(probes[0].packet == bare);
+    AddTarget(8, "10.0.0.8:80", 500);
+    CPPUNIT_ASSERT(m_balancer.Sweep(m_now).empty());
+    // The flow may be open all the same.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_balancer.flow_count());
+  }
+
   // Guards against callers that wait for the earlier start of a target that has
   // started again elsewhere.
   void PacketsOfAnEarlierStartAlsoGoToTheLaterOne() {
--- a/tests/flow_ownership_test.cc
+++ b/tests/flow_ownership_test.cc
@@ -17,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "big_endian.h"
 #include "quick.h"
 #include "sardinelead/cookie_balancer.h"
 #include "single_route.h"
@@ -236,7 +237,11 @@
 
   // `arrived_at` may be earlier than now.
   void OnPacket(Node* node, const FlowPacket& packet, TimePoint arrived_at) {
-    const Forwarding out = node->balancer->OnPacket(packet, m_now);
+    Bytes bytes(sizeof packet.acknowledged);
+    StoreBigEndian(packet.acknowledged, bytes.data());
+    FlowPacket received = packet;
+    received.bytes = bytes;
+    const Forwarding out = node->balancer->OnPacket(received, m_now);
     if (out.action == ForwardAction::kHold) {
       node->held.emplace_back(arrived_at, packet);
     }
@@ -263,7 +268,9 @@
   void ReadSockets() {
     for (const auto& node : m_nodes) {
       node->balancer->OnDrained(m_now, m_now);
-      node->balancer->Sweep(m_now);
+      for (const FlowProbe& probe : node->balancer->Sweep(m_now)) {
+        SendProbe(probe);
+      }
     }
     After(milliseconds(5), [this] { ReadSockets(); });
   }
@@ -411,6 +418,14 @@
     SendToTarget(out.copy->target, out.copy->address, packet, out.cookie);
   }
 
+  void SendProbe(const FlowProbe& probe) {
+    FlowPacket packet;
+    packet.flow = probe.flow;
+    packet.acknowledges = true;
+    packet.acknowledged = LoadBigEndian<std::uint32_t>(probe.packet.data());
+    SendToTarget(probe.copy.target, probe.copy.address, packet, probe.cookie);
+  }
+
   void SendToTarget(std::uint64_t number, const Endpoint& address,
                     const FlowPacket& packet, std::uint32_t cookie) {
     After(milliseconds(1) + UpTo(m_scenario.target_delay),
