--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -65,7 +65,7 @@
 //
 // docs/design/platform.md compares this design with flow records. Performs no
 // I/O itself. Not thread-safe. A packet costs a few hash lookups; an opening
-// packet also costs one pass over the pool's targets. Memory: about 150 bytes
+// packet also costs one pass over the pool's targets. Memory: about 200 bytes
 // per recently seen flow.
 
 #include <array>
