--- a/tests/flow_ownership_test.cc
+++ b/tests/flow_ownership_test.cc
@@ -398,8 +398,9 @@
   // Whether the caller has a flow that is open at a running process.
   bool IsOpen(std::uint16_t port) {
     const Caller& caller = m_callers[port];
-    if (!caller.is_open || !m_processes[caller.process].is_running)
-      return false;
+    const bool is_running =
+        caller.is_open && m_processes[caller.process].is_running;
+    if (!is_running) return false;
     const auto held = m_held.find({caller.process, port});
     return held != m_held.end() && held->second.is_open;
   }
