A cookie names a target's address, not its start

A flow that a late balancer opened at the new process carried the old start's cookie, which balancers that started later never learn.

Cause: packets are sent by number and address; the start is not among what they are sent by, so a cookie with the start tells more apart than the network does.

Change: the cookie is the hash of number and address and is never rewritten. The directory keeps the number's other addresses in place of its other starts, also those announced for a pool that is not configured here, and a new one is a change, so that held packets are retried. Probes follow the occupant of the flow's address: a later start in place, or a second successor, is probed too, once each. A copy of an opening packet goes only to the start that got the first one. Of two equal start times each is the other's successor.

Tests: RestartAtTheSameAddressKeepsTheCookie and OpeningCopyGoesToNoOtherStart are new, CookieNamesOneAddress, KeepsAFewAddresses and AddressOfAnUnknownPoolIsKept take the place of two tests of starts; IdleFlowsAreProbedOnceForEachOccupant asks for both new probes. A third of the restarts of LateKnowledgeLosesNoOpenFlow are in place.

--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -4,10 +4,10 @@
 // Forwards packets of flows in which the caller echoes a cookie.
 //
 // Callers echo a 32-bit cookie that the balancer wrote, so every packet after
-// the first identifies its target and the start of its process. Any balancer
-// that knows this start can forward the packet, without per-flow state and
-// without contacting another balancer. One that knows only another start of the
-// target holds the packet until it learns of this one. The forwarded packet
+// the first identifies its target and the target's address. Any balancer that
+// knows both can forward the packet, without per-flow state and without
+// contacting another balancer. One that knows the target only at another
+// address holds the packet until it learns of this one. The forwarded packet
 // carries the target's number, and a target drops packets with another number,
 // so a packet cannot reach the wrong service even if the balancer's directory
 // is stale.
@@ -30,16 +30,16 @@
 // and its route may be late, and whatever the balancer learns next may take it
 // back: a target that is silent may be slow, one that announced its end may
 // still serve, and a route that was removed may stand again in a newer table.
-// Without a route, packets are dropped.
+// Without a route, all but first opening packets are dropped.
 //
 // The flow's end must therefore come from the targets, which reset flows that
 // they do not hold. If another process seems to have taken the place of the
 // flow's target, by the announced start times, the packet goes to the target as
 // before, and a copy goes to that process. Each is addressed by its number, so
 // only the one that exists takes it. If it is the target, the flow goes on; if
-// it is the other process, that resets the flow. Callers that are idle learn of
-// it before their next request: when the other process becomes known, it gets a
-// copy of the last packet without data of each open flow.
+// it is the other process, that resets the flow. Idle callers learn of it too:
+// when another process, or a later start of the target, becomes known, it gets
+// the last packet without data of each open flow that was seen here, once.
 //
 // A target whose callers retransmit requests gets no new flows while it answers
 // none. Answers do not pass through the balancer, so retransmissions are the
@@ -131,7 +131,7 @@
   kRouteRemoved,  // The address had a route that was removed.
   kNoTarget,      // The pool has no usable target.
   kEvacuated,     // All usable targets are in evacuated data centres.
-  kUnknownCookie,  // No known start of a target has this cookie.
+  kUnknownCookie,  // No known address of a target has this cookie.
   kTargetEnded,    // By the cookie, with a copy to the process that seems to
                    // have taken the place of the flow's target.
   kNotReady,       // No route table received yet.
@@ -147,8 +147,8 @@
 struct PacketCopy {
   std::uint64_t target = 0;
   Endpoint address;
-  // The start of the flow's target and of this process, in Unix milliseconds by
-  // their own clocks.
+  // The latest start of the flow's target at the flow's address, and of this
+  // process, in Unix milliseconds by their own clocks.
   std::uint64_t started_ms = 0;
   std::uint64_t successor_started_ms = 0;
 };
@@ -304,8 +304,8 @@
   // nothing about targets.
   void OnPacketsDropped() { m_progress.OnPacketsDropped(); }
   // Removes idle flow records, times out requests and reports health changes of
-  // targets. Returns the probes of open flows whose target another process has
-  // replaced since the last call. Call every 250 ms.
+  // targets. Returns the probes of open flows at whose target's address another
+  // process has become known since the last call. Call every 250 ms.
   std::vector<FlowProbe> Sweep(TimePoint now);
 
   std::size_t flow_count() const { return m_flows.size(); }       // NOLINT
@@ -323,7 +323,8 @@
  private:
   // A header of the platform's packets, or of IP and TCP, fits in.
   static constexpr std::size_t kMaxProbeBytes = 40;
-  using StartKey = std::pair<std::uint64_t, std::uint64_t>;  // Number, start.
+  // A process, by its target's number and its start.
+  using ProcessKey = std::pair<std::uint64_t, std::uint64_t>;
 
   struct Flow {
     std::uint64_t target = 0;
@@ -340,7 +341,10 @@
     // Packets that the queue for the link dropped and that the caller has not
     // sent again.
     std::uint8_t dropped_here = 0;
-    std::uint32_t cookie = 0;  // As last returned by the caller.
+    std::uint32_t cookie = 0;  // As last sent to the target.
+    // The process that was taken for the one at the flow's address when the
+    // flow was last forwarded or probed.
+    ProcessKey occupant;
     // The caller's last packet without data, if it is no larger than this.
     std::array<std::uint8_t, kMaxProbeBytes> last_bare{};
     std::uint8_t last_bare_bytes = 0;
@@ -360,17 +364,14 @@
 
   Forwarding ForwardWithoutRoute(const FlowPacket& packet) const;
   Forwarding ForwardOpening(const FlowPacket& packet, TimePoint now);
-  void RecordOpening(const FlowPacket& packet, std::uint64_t target,
-                     TimePoint now);
+  void RecordOpening(const FlowPacket& packet,
+                     const TargetDirectory::Entry& entry, TimePoint now);
   Forwarding ForwardCopy(const FlowPacket& packet, Flow* flow, TimePoint now);
   Forwarding ForwardEstablished(const FlowPacket& packet, TimePoint now);
-  std::optional<TargetDirectory::Start> FindSuccessor(
-      const TargetDirectory::Start& start) const;
-  static PacketCopy CopyFor(const TargetDirectory::Start& start,
-                            const TargetDirectory::Start& successor);
+  static PacketCopy CopyFor(const TargetDirectory::Location& location,
+                            const TargetDirectory::Location& occupant);
   static void KeepBarePacket(const FlowPacket& packet, Flow* flow);
-  std::set<StartKey> ReplacedStarts() const;
-  std::vector<FlowProbe> ProbeFlowsOfReplacedStarts();
+  std::vector<FlowProbe> ProbeFlowsOfNewOccupants();
   Forwarding ForwardTo(const TargetDirectory::Entry& entry, const FlowKey& key,
                        ForwardReason reason) const;
   Forwarding Drop(const FlowPacket& packet, ForwardReason reason) const;
@@ -387,7 +388,7 @@
   bool TakeWarmUpShare(const TargetDirectory::Entry& entry, TimePoint now);
   ForwardReason ReasonForNoTarget(const std::vector<PlacementTarget>& known);
   void AddRemovedRoute(const Endpoint& address);
-  ForwardReason UpdateFlow(const FlowPacket& packet, std::uint64_t target,
+  ForwardReason UpdateFlow(const FlowPacket& packet, const ProcessKey& process,
                            TimePoint now);
   void OpenFlow(const FlowPacket& packet, std::uint64_t target,
                 bool is_placed_here, Flow* flow, TimePoint now);
@@ -416,10 +417,9 @@
   std::unordered_map<FlowKey, Flow, HashFlowKey> m_flows;
   ReadProgress m_progress;
   QueuedFlows m_queued;
-  std::set<std::uint64_t> m_lost;         // Targets last reported as lost.
-  std::set<std::uint64_t> m_silent;       // Targets last reported as silent.
-  std::set<StartKey> m_replaced;          // Starts whose flows were probed.
-  std::uint64_t m_replaced_revision = 0;  // Of the directory, for m_replaced.
+  std::set<std::uint64_t> m_lost;       // Targets last reported as lost.
+  std::set<std::uint64_t> m_silent;     // Targets last reported as silent.
+  std::uint64_t m_probed_revision = 0;  // Of the directory's occupants.
   TimePoint m_health_reported_at;
   // Targets that may take new flows, by pool; rebuilt periodically.
   std::unordered_map<std::string, std::vector<PlacementTarget>> m_targets;
--- a/include/sardinelead/target_directory.h
+++ b/include/sardinelead/target_directory.h
@@ -7,13 +7,14 @@
 // Announcements of a target are ordered by the start time of its process, then
 // by the sequence number of that process, so that late and duplicate delivery
 // and delivery by several paths give the same result. Of two targets with the
-// same address, only the one that started last still exists.
+// same address, the one that started last is taken for the one that exists, and
+// only that gets new flows.
 //
 // A target may start again under its number, also at another address, and nodes
-// learn that at different times. A cookie names one start, so a node that knows
-// only an earlier one does not know the cookie, in place of sending packets to
-// the earlier address. A few other starts of each target are kept, for packets
-// of their flows.
+// learn that at different times. A cookie names the number and the address, by
+// which packets are sent, so a node that knows only an earlier address does not
+// know the cookie, in place of sending packets there. A few other addresses of
+// each target are kept, for packets of flows that opened there.
 //
 // An announcement for a pool that is not configured may come from a program
 // that is no target at all. It is kept, since the pool may be configured later,
@@ -60,15 +61,15 @@
   Duration warm_up_left{0};  // Remaining time of reduced speed.
 };
 
-// Returns the cookie carried by flows of this start of a target: a hash, equal
-// on all nodes and never 0. A later start of the target has another cookie,
-// since it does not hold the flows of this one. Two starts may share a cookie.
-std::uint32_t CookieOf(std::uint64_t target_number, std::uint64_t started_ms);
+// Returns the cookie carried by flows of the target at this address: a hash,
+// equal on all nodes and never 0. At another address the target has another
+// cookie. Two pairs of number and address may share a cookie.
+std::uint32_t CookieOf(std::uint64_t target_number, const Endpoint& address);
 // Returns a hash of the number that names the target in SilenceReport, never 0.
 std::uint32_t ShortNumberOf(std::uint64_t target_number);
 
 enum class AnnouncementEffect : std::uint8_t {
-  kStale,    // Older than the known announcement; ignored.
+  kStale,    // Older than the known announcement; only its address is kept.
   kRenewed,  // The target is alive; nothing relevant changed.
   kChanged,  // A field that balancers act on changed, or it became cold again.
   kForeign,  // For a pool that is not configured, with the number of a target
@@ -78,10 +79,10 @@
 
 class TargetDirectory {
  public:
-  // Another start of a target than that of its newest announcement.
-  struct OtherStart {
-    std::uint64_t started_ms = 0;
+  // Another address of a target than that of its newest announcement.
+  struct OtherAddress {
     Endpoint address;
+    std::uint64_t started_ms = 0;  // The latest known start there.
   };
   struct Entry {
     TargetAnnouncement announcement;
@@ -92,13 +93,13 @@
     std::uint64_t revision = 0;
     // The grant for this start of the target; empty if none is known.
     std::optional<WarmUpShares> warm_up_shares;
-    std::vector<OtherStart> other_starts;  // The latest known ones.
+    std::vector<OtherAddress> other_addresses;  // The last to become known.
   };
-  // A start of a target, which a cookie names.
-  struct Start {
-    const Entry* entry = nullptr;  // Its target, which may have started again.
-    std::uint64_t started_ms = 0;
+  // A target at an address, which a cookie names.
+  struct Location {
+    const Entry* entry = nullptr;  // The target, which may be elsewhere by now.
     Endpoint address;
+    std::uint64_t started_ms = 0;  // The latest known start there.
   };
 
   // Called when a target is found to have ended because `successor`, which
@@ -125,32 +126,34 @@
   void RemoveSilent(Duration age, TimePoint now);
 
   // Incremented by each change.
-  std::uint64_t revision() const { return m_revision; }    // NOLINT
+  std::uint64_t revision() const { return m_revision; }  // NOLINT
+  // Incremented by each change of the result of FindOccupant().
+  std::uint64_t occupant_revision() const {  // NOLINT
+    return m_occupant_revision;
+  }
   const std::map<std::uint64_t, Entry>& entries() const {  // NOLINT
     return m_entries;
   }
   const Entry* Find(std::uint64_t number) const;
-  // Returns the process that has taken the place of this start, as far as the
-  // announced start times tell: the latest other target of a configured pool at
-  // its address, else a later start of its target. Start times are by the
-  // clocks of the targets' VMs, and either process may be the one that exists.
-  std::optional<Start> FindSuccessor(const Start& start) const;
-  // Returns the start that this cookie names, or nothing if it is not known. If
-  // several share the cookie, prefers the present start of a target that has
-  // not ended. An earlier start at the address of the present one is returned
-  // as the present one: number and address do not tell them apart. Cost: one
-  // lookup.
-  std::optional<Start> FindByCookie(std::uint32_t cookie) const;
+  // Returns nothing if the cookie is not known. If several targets share it,
+  // prefers one that is at the address and has not ended. Cost: one lookup.
+  std::optional<Location> FindByCookie(std::uint32_t cookie) const;
+  // Returns the process that would take or reset the flows of this location, as
+  // far as the announced start times tell: the latest other target of a
+  // configured pool that started there later, else the target where it started
+  // last, which may be this location. Start times are by the clocks of the
+  // targets' VMs, so another process than this may be the one that exists.
+  Location FindOccupant(const Location& location) const;
 
  private:
   AnnouncementEffect Replace(Entry* entry,
                              const TargetAnnouncement& announcement,
                              TimePoint heard_at);
-  void IndexStart(std::uint64_t number, std::uint64_t started_ms);
-  void ChangeStart(Entry* entry, const TargetAnnouncement& announcement);
-  void AddOtherStart(Entry* entry, const TargetAnnouncement& announcement);
-  void RemoveStarts(const Entry& entry);
-  Start FindStart(std::uint64_t number, std::uint64_t started_ms) const;
+  void AddToIndex(std::uint64_t number, const Endpoint& address);
+  void RemoveFromIndex(std::uint64_t number, const Endpoint& address);
+  void ChangeAddress(Entry* entry, const TargetAnnouncement& announcement);
+  void AddOtherAddress(Entry* entry, const TargetAnnouncement& announcement);
+  Location FindLocation(std::uint64_t number, const Endpoint& address) const;
   bool IsConfigured(const TargetAnnouncement& announcement) const {
     return m_pools.count(announcement.pool) != 0;
   }
@@ -160,10 +163,10 @@
   OnReplaced m_on_replaced;
   std::set<std::string> m_pools;
   std::uint64_t m_revision = 0;
+  std::uint64_t m_occupant_revision = 0;
   std::map<std::uint64_t, Entry> m_entries;  // By number.
-  // The number and start time by cookie, for the present and the other starts.
-  std::multimap<std::uint32_t, std::pair<std::uint64_t, std::uint64_t>>
-      m_by_cookie;
+  // The number and address by cookie, for the present and the other addresses.
+  std::multimap<std::uint32_t, std::pair<std::uint64_t, Endpoint>> m_by_cookie;
   std::unordered_multimap<Endpoint, std::uint64_t, EndpointHash> m_by_address;
 };
 
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -189,15 +189,18 @@
     if (m_hooks.is_gathering()) out.action = ForwardAction::kHold;
     return out;
   }
-  RecordOpening(packet, *chosen, now);
+  RecordOpening(packet, *entry, now);
   return ForwardTo(*entry, packet.flow, ForwardReason::kPlaced);
 }
 
 void CookieBalancer::RecordOpening(const FlowPacket& packet,
-                                   std::uint64_t target, TimePoint now) {
+                                   const TargetDirectory::Entry& entry,
+                                   TimePoint now) {
+  const std::uint64_t target = entry.announcement.number;
   if (m_flows.size() >= m_settings.max_flows) ExpireFlows(now);
   Flow& flow = m_flows[packet.flow];
   flow.target = target;
+  flow.occupant = {target, entry.announcement.started_ms};
   flow.opening_sequence = packet.sequence;
   flow.opened_at = now;
   flow.seen_at = now;
@@ -211,7 +214,11 @@
                                        TimePoint now) {
   flow->seen_at = now;
   const TargetDirectory::Entry* entry = m_directory->Find(flow->target);
-  if (entry == nullptr || flow->is_closed) {
+  const bool is_same_process =
+      entry != nullptr &&
+      flow->occupant ==
+          ProcessKey(flow->target, entry->announcement.started_ms);
+  if (!is_same_process || flow->is_closed) {
     return Drop(packet, ForwardReason::kUnplacedCopy);
   }
   if (!TakeWarmUpShare(*entry, now)) {
@@ -233,53 +240,50 @@
   out.reason = reason;
   out.target = entry.announcement.number;
   out.address = entry.announcement.address;
-  out.cookie = CookieOf(out.target, entry.announcement.started_ms);
+  out.cookie = CookieOf(out.target, out.address);
   return out;
 }
 
-// Costs nothing for the present start of a target that has not ended.
-std::optional<TargetDirectory::Start> CookieBalancer::FindSuccessor(
-    const TargetDirectory::Start& start) const {
-  const TargetAnnouncement& present = start.entry->announcement;
-  const bool may_have_ended = present.state == AnnouncedState::kEnded ||
-                              present.started_ms != start.started_ms;
-  return may_have_ended ? m_directory->FindSuccessor(start) : std::nullopt;
-}
-
 Forwarding CookieBalancer::ForwardEstablished(const FlowPacket& packet,
                                               TimePoint now) {
-  const auto start = packet.cookie == 0
-                         ? std::nullopt
-                         : m_directory->FindByCookie(packet.cookie);
-  if (!start) {
+  const auto location = packet.cookie == 0
+                            ? std::nullopt
+                            : m_directory->FindByCookie(packet.cookie);
+  if (!location) {
     Forwarding out = Drop(packet, ForwardReason::kUnknownCookie);
     if (packet.cookie != 0) out.action = ForwardAction::kHold;
     return out;
   }
-  const std::uint64_t target = start->entry->announcement.number;
-  Forwarding out = ForwardTo(*start->entry, packet.flow, {});
-  out.address = start->address;
-  out.cookie = CookieOf(target, start->started_ms);
-  const auto successor = FindSuccessor(*start);
-  if (!successor || packet.resets) {
-    out.reason = UpdateFlow(packet, target, now);
+  const auto occupant = m_directory->FindOccupant(*location);
+  Forwarding out;
+  out.flow = packet.flow;
+  out.action = ForwardAction::kForward;
+  out.target = location->entry->announcement.number;
+  out.address = location->address;
+  out.cookie = packet.cookie;
+  const bool is_replaced = occupant.entry != location->entry ||
+                           occupant.address != location->address;
+  if (!is_replaced || packet.resets) {
+    out.reason = UpdateFlow(packet, {out.target, occupant.started_ms}, now);
     return out;
   }
   RemoveFlow(packet.flow);  // It counts as load of neither process.
   out.reason = ForwardReason::kTargetEnded;
-  out.copy = CopyFor(*start, *successor);
+  out.copy = CopyFor(*location, occupant);
   return out;
 }
 
-PacketCopy CookieBalancer::CopyFor(const TargetDirectory::Start& start,
-                                   const TargetDirectory::Start& successor) {
-  return {successor.entry->announcement.number, successor.address,
-          start.started_ms, successor.started_ms};
+PacketCopy CookieBalancer::CopyFor(const TargetDirectory::Location& location,
+                                   const TargetDirectory::Location& occupant) {
+  return {occupant.entry->announcement.number, occupant.address,
+          location.started_ms, occupant.started_ms};
 }
 
 // Returns how the flow's record compares with the target that the cookie names.
 ForwardReason CookieBalancer::UpdateFlow(const FlowPacket& packet,
-                                         std::uint64_t target, TimePoint now) {
+                                         const ProcessKey& process,
+                                         TimePoint now) {
+  const std::uint64_t target = process.first;
   ForwardReason reason = ForwardReason::kByCookie;
   const auto recorded = m_flows.find(packet.flow);
   if (recorded == m_flows.end()) {
@@ -304,6 +308,7 @@
   flow.is_first_send = flow.is_counted_since = false;
   if (flow.is_closed) return reason;
   KeepBarePacket(packet, &flow);
+  flow.occupant = process;
   if (!flow.is_open) OpenFlow(packet, target, !is_new, &flow, now);
   UpdateRequestState(packet, &flow, now);
   return reason;
@@ -442,45 +447,24 @@
   if (now - m_health_reported_at >= kReportInterval) ReportHealthChanges(now);
   ExpireFlows(now);
   m_warm_up_limiter.RemoveIdle(now);
-  if (m_replaced_revision == m_directory->revision()) return {};
-  m_replaced_revision = m_directory->revision();
-  return ProbeFlowsOfReplacedStarts();
+  if (m_probed_revision == m_directory->occupant_revision()) return {};
+  m_probed_revision = m_directory->occupant_revision();
+  return ProbeFlowsOfNewOccupants();
 }
 
-std::set<CookieBalancer::StartKey> CookieBalancer::ReplacedStarts() const {
-  std::set<StartKey> replaced;
-  const auto add = [&](const TargetDirectory::Start& start) {
-    if (!FindSuccessor(start)) return;
-    replaced.emplace(start.entry->announcement.number, start.started_ms);
-  };
-  for (const auto& [number, entry] : m_directory->entries()) {
-    const TargetAnnouncement& present = entry.announcement;
-    add({&entry, present.started_ms, present.address});
-    for (const TargetDirectory::OtherStart& other : entry.other_starts) {
-      add({&entry, other.started_ms, other.address});
-    }
-  }
-  return replaced;
-}
-
-std::vector<FlowProbe> CookieBalancer::ProbeFlowsOfReplacedStarts() {
-  const std::set<StartKey> probed = std::exchange(m_replaced, ReplacedStarts());
-  const bool has_new = !std::includes(probed.begin(), probed.end(),
-                                      m_replaced.begin(), m_replaced.end());
+std::vector<FlowProbe> CookieBalancer::ProbeFlowsOfNewOccupants() {
   std::vector<FlowProbe> out;
-  if (!has_new) return out;
-  for (const auto& [key, flow] : m_flows) {
+  for (auto& [key, flow] : m_flows) {
     if (!flow.is_open || flow.last_bare_bytes == 0) continue;
-    const auto start = m_directory->FindByCookie(flow.cookie);
-    if (!start) continue;
-    const StartKey start_key{flow.target, start->started_ms};
-    const bool is_newly_replaced =
-        m_replaced.count(start_key) != 0 && probed.count(start_key) == 0;
-    if (!is_newly_replaced) continue;
-    const auto successor = FindSuccessor(*start);
-    if (!successor) continue;
+    const auto location = m_directory->FindByCookie(flow.cookie);
+    if (!location) continue;
+    const auto occupant = m_directory->FindOccupant(*location);
+    const ProcessKey process{occupant.entry->announcement.number,
+                             occupant.started_ms};
+    if (process == flow.occupant) continue;
+    flow.occupant = process;
     const auto begin = flow.last_bare.begin();
-    out.push_back({key, CopyFor(*start, *successor), flow.cookie,
+    out.push_back({key, CopyFor(*location, occupant), flow.cookie,
                    Bytes(begin, begin + flow.last_bare_bytes)});
   }
   return out;
--- a/src/paced_sender.h
+++ b/src/paced_sender.h
@@ -12,10 +12,9 @@
 // A link whose capacity is unknown, or of kWideLink and more, which cannot be
 // the bottleneck of one process, delays, drops and refuses nothing.
 //
-// What ends a flow: a caller's reset drops what waits for its flow and then
-// takes its own turn, and so does a reset to the caller of a target that has
-// ended. All other packets of an ended flow stay in the queue: data may
-// precede its FIN, and a FIN frees the flow's slot at its target.
+// A caller's reset drops what waits for its flow and then takes its own turn.
+// All other packets of an ended flow stay in the queue: data may precede its
+// FIN, and a FIN frees the flow's slot at its target.
 //
 // Performs no I/O itself and reads no clock. Not thread-safe.
 
--- a/src/target_directory.cc
+++ b/src/target_directory.cc
@@ -9,7 +9,7 @@
 // The end of a warm-up is known this exactly, as heartbeats are delayed by
 // different times.
 constexpr Duration kWarmUpTolerance = std::chrono::seconds(1);
-constexpr std::size_t kMaxOtherStarts = 8;  // Of each target.
+constexpr std::size_t kMaxOtherAddresses = 8;  // Of each target.
 
 constexpr std::uint64_t kHashSeed = 0x636f6f6b6965;
 
@@ -39,8 +39,8 @@
 
 // Removes the entry of `value` under `key`.
 template <typename Index, typename Key>
-void RemoveFromIndex(const Key& key, const typename Index::mapped_type& value,
-                     Index* index) {
+void Erase(const Key& key, const typename Index::mapped_type& value,
+           Index* index) {
   const auto [begin, end] = index->equal_range(key);
   for (auto it = begin; it != end; ++it) {
     if (it->second != value) continue;
@@ -77,9 +77,9 @@
   return "unknown";
 }
 
-std::uint32_t CookieOf(std::uint64_t target_number, std::uint64_t started_ms) {
-  const std::uint64_t hash =
-      HashCombine(HashCombine(target_number, kHashSeed), started_ms);
+std::uint32_t CookieOf(std::uint64_t target_number, const Endpoint& address) {
+  const std::uint64_t hash = HashCombine(HashCombine(target_number, kHashSeed),
+                                         EndpointHash{}(address));
   return std::max(static_cast<std::uint32_t>(hash), 1U);
 }
 
@@ -106,18 +106,21 @@
   const auto [found, is_new] = m_entries.try_emplace(received.number);
   Entry* entry = &found->second;
   if (is_new) {
-    IndexStart(received.number, received.started_ms);
+    AddToIndex(received.number, received.address);
     return Replace(entry, received, heard_at);
   }
   const bool was_configured = IsConfigured(entry->announcement);
   const bool is_configured = IsConfigured(received);
-  if (was_configured && !is_configured) return AnnouncementEffect::kForeign;
+  if (was_configured && !is_configured) {
+    AddOtherAddress(entry, received);
+    return AnnouncementEffect::kForeign;
+  }
   if (is_configured && !was_configured) {
-    ChangeStart(entry, received);
+    ChangeAddress(entry, received);
     return Replace(entry, received, heard_at);
   }
   if (IsOlder(received, entry->announcement)) {
-    AddOtherStart(entry, received);
+    AddOtherAddress(entry, received);
     return AnnouncementEffect::kStale;
   }
   const bool is_ended = entry->announcement.state == AnnouncedState::kEnded &&
@@ -127,7 +130,7 @@
       !IsEquivalentForBalancers(entry->announcement, received) ||
       HasBecomeCold(*entry, received, heard_at);
   if (is_changed) {
-    ChangeStart(entry, received);
+    ChangeAddress(entry, received);
     return Replace(entry, received, heard_at);
   }
   entry->announcement = received;
@@ -136,55 +139,67 @@
   return AnnouncementEffect::kRenewed;
 }
 
-void TargetDirectory::IndexStart(std::uint64_t number,
-                                 std::uint64_t started_ms) {
-  m_by_cookie.emplace(CookieOf(number, started_ms),
-                      std::make_pair(number, started_ms));
+void TargetDirectory::AddToIndex(std::uint64_t number,
+                                 const Endpoint& address) {
+  m_by_cookie.emplace(CookieOf(number, address),
+                      std::make_pair(number, address));
 }
 
-// Prepares the entry for an announcement of another start than its present one,
-// which becomes one of the others.
-void TargetDirectory::ChangeStart(Entry* entry,
-                                  const TargetAnnouncement& announcement) {
-  const TargetAnnouncement& present = entry->announcement;
-  if (present.started_ms == announcement.started_ms) return;
-  entry->warm_up_shares.reset();
-  AddOtherStart(entry, announcement);
-  auto& others = entry->other_starts;
-  const auto becomes_present =
-      std::find_if(others.begin(), others.end(), [&](const OtherStart& other) {
-        return other.started_ms == announcement.started_ms;
-      });
-  *becomes_present = {present.started_ms, present.address};
+void TargetDirectory::RemoveFromIndex(std::uint64_t number,
+                                      const Endpoint& address) {
+  Erase(CookieOf(number, address), {number, address}, &m_by_cookie);
 }
 
-// Adds the start of `announcement` unless it is known.
-void TargetDirectory::AddOtherStart(Entry* entry,
+// Prepares the entry for an announcement from another address than its present
+// one, which becomes one of the others.
+void TargetDirectory::ChangeAddress(Entry* entry,
                                     const TargetAnnouncement& announcement) {
-  const std::uint64_t number = announcement.number;
-  auto& others = entry->other_starts;
-  const bool is_known =
-      entry->announcement.started_ms == announcement.started_ms ||
-      std::any_of(others.begin(), others.end(), [&](const OtherStart& other) {
-        return other.started_ms == announcement.started_ms;
+  const TargetAnnouncement& present = entry->announcement;
+  if (present.address == announcement.address) return;
+  AddOtherAddress(entry, announcement);
+  for (OtherAddress& other : entry->other_addresses) {
+    if (other.address != announcement.address) continue;
+    other = {present.address, present.started_ms};
+  }
+}
+
+// Adds the address of `announcement` unless it is known.
+void TargetDirectory::AddOtherAddress(Entry* entry,
+                                      const TargetAnnouncement& announcement) {
+  if (entry->announcement.address == announcement.address) return;
+  auto& others = entry->other_addresses;
+  const auto known = std::find_if(
+      others.begin(), others.end(), [&](const OtherAddress& other) {
+        return other.address == announcement.address;
       });
-  if (is_known) return;
-  if (others.size() == kMaxOtherStarts) {
-    const std::uint64_t dropped = others.front().started_ms;
-    RemoveFromIndex(CookieOf(number, dropped), {number, dropped}, &m_by_cookie);
+  if (known != others.end()) {
+    known->started_ms = std::max(known->started_ms, announcement.started_ms);
+    return;
+  }
+  const std::uint64_t number = announcement.number;
+  if (others.size() == kMaxOtherAddresses) {
+    RemoveFromIndex(number, others.front().address);
     others.erase(others.begin());
   }
-  others.push_back({announcement.started_ms, announcement.address});
-  IndexStart(number, announcement.started_ms);
+  others.push_back({announcement.address, announcement.started_ms});
+  AddToIndex(number, announcement.address);
+  ++m_revision;
+  ++m_occupant_revision;
 }
 
 AnnouncementEffect TargetDirectory::Replace(
     Entry* entry, const TargetAnnouncement& announcement, TimePoint heard_at) {
   const Endpoint previous_address = entry->announcement.address;
   if (previous_address != announcement.address) {
-    RemoveFromIndex(previous_address, announcement.number, &m_by_address);
+    Erase(previous_address, announcement.number, &m_by_address);
     m_by_address.emplace(announcement.address, announcement.number);
   }
+  const bool is_other_start =
+      entry->announcement.started_ms != announcement.started_ms;
+  if (is_other_start) {
+    entry->warm_up_shares.reset();
+    ++m_occupant_revision;
+  }
   entry->announcement = announcement;
   entry->heard_at = std::max(entry->heard_at, heard_at);
   entry->warm_at = heard_at + announcement.warm_up_left;
@@ -219,6 +234,7 @@
   ended->announcement.state = AnnouncedState::kEnded;
   ended->ended_at = now;
   ended->revision = ++m_revision;
+  ++m_occupant_revision;
   m_on_replaced(ended->announcement, successor->announcement);
 }
 
@@ -248,75 +264,68 @@
       ++it;
       continue;
     }
-    RemoveStarts(it->second);
-    RemoveFromIndex(it->second.announcement.address, it->first, &m_by_address);
+    const Entry& entry = it->second;
+    RemoveFromIndex(it->first, entry.announcement.address);
+    for (const OtherAddress& other : entry.other_addresses) {
+      RemoveFromIndex(it->first, other.address);
+    }
+    Erase(entry.announcement.address, it->first, &m_by_address);
     it = m_entries.erase(it);
   }
 }
 
-void TargetDirectory::RemoveStarts(const Entry& entry) {
-  const std::uint64_t number = entry.announcement.number;
-  const auto remove = [this, number](std::uint64_t started_ms) {
-    RemoveFromIndex(CookieOf(number, started_ms), {number, started_ms},
-                    &m_by_cookie);
-  };
-  remove(entry.announcement.started_ms);
-  for (const OtherStart& other : entry.other_starts) remove(other.started_ms);
-}
-
 const TargetDirectory::Entry* TargetDirectory::Find(
     std::uint64_t number) const {
   const auto found = m_entries.find(number);
   return found == m_entries.end() ? nullptr : &found->second;
 }
 
-std::optional<TargetDirectory::Start> TargetDirectory::FindSuccessor(
-    const Start& start) const {
-  std::optional<Start> latest;
-  const auto [begin, end] = m_by_address.equal_range(start.address);
-  for (auto it = begin; it != end; ++it) {
-    const Entry& other = m_entries.at(it->second);
-    const std::uint64_t started_ms = other.announcement.started_ms;
-    const bool is_later =
-        started_ms > (latest ? latest->started_ms : start.started_ms);
-    const bool is_successor =
-        &other != start.entry && is_later && IsConfigured(other.announcement);
-    if (is_successor) latest = Start{&other, started_ms, start.address};
-  }
-  const TargetAnnouncement& present = start.entry->announcement;
-  if (latest || present.started_ms <= start.started_ms) return latest;
-  return Start{start.entry, present.started_ms, present.address};
-}
-
-std::optional<TargetDirectory::Start> TargetDirectory::FindByCookie(
+std::optional<TargetDirectory::Location> TargetDirectory::FindByCookie(
     std::uint32_t cookie) const {
-  std::optional<Start> best;
+  std::optional<Location> best;
   bool is_best_living = false;
   const auto [begin, end] = m_by_cookie.equal_range(cookie);
   for (auto it = begin; it != end; ++it) {
-    const auto [number, started_ms] = it->second;
-    const Start start = FindStart(number, started_ms);
-    const TargetAnnouncement& present = start.entry->announcement;
-    const bool is_living = present.started_ms == start.started_ms &&
-                           present.state != AnnouncedState::kEnded;
+    const auto& [number, address] = it->second;
+    const Location location = FindLocation(number, address);
+    const TargetAnnouncement& present = location.entry->announcement;
+    const bool is_living =
+        present.address == address && present.state != AnnouncedState::kEnded;
     if (best && (is_best_living || !is_living)) continue;
-    best = start;
+    best = location;
     is_best_living = is_living;
   }
   return best;
 }
 
-// The start is one of those in the index.
-TargetDirectory::Start TargetDirectory::FindStart(
-    std::uint64_t number, std::uint64_t started_ms) const {
+// The location is one of those in the index.
+TargetDirectory::Location TargetDirectory::FindLocation(
+    std::uint64_t number, const Endpoint& address) const {
   const Entry& entry = m_entries.at(number);
-  const TargetAnnouncement& present = entry.announcement;
-  for (const OtherStart& other : entry.other_starts) {
-    const bool is_apart =
-        other.started_ms == started_ms && other.address != present.address;
-    if (is_apart) return {&entry, started_ms, other.address};
+  for (const OtherAddress& other : entry.other_addresses) {
+    if (other.address == address) return {&entry, address, other.started_ms};
+  }
+  return {&entry, address, entry.announcement.started_ms};
+}
+
+TargetDirectory::Location TargetDirectory::FindOccupant(
+    const Location& location) const {
+  const TargetAnnouncement& present = location.entry->announcement;
+  const Location last{location.entry, present.address, present.started_ms};
+  const bool is_present = present.address == location.address;
+  if (is_present && present.state != AnnouncedState::kEnded) return last;
+  std::optional<Location> latest;
+  const auto [begin, end] = m_by_address.equal_range(location.address);
+  for (auto it = begin; it != end; ++it) {
+    const Entry& other = m_entries.at(it->second);
+    const std::uint64_t started_ms = other.announcement.started_ms;
+    const bool is_later =
+        started_ms >= (latest ? latest->started_ms : location.started_ms);
+    const bool is_other = &other != location.entry && is_later &&
+                          IsConfigured(other.announcement);
+    if (is_other) latest = Location{&other, location.address, started_ms};
   }
-  return {&entry, present.started_ms, present.address};
+  return latest.value_or(last);
 }
 
 }  // namespace sardinelead
--- a/tests/balancer_stall_test.cc
+++ b/tests/balancer_stall_test.cc
@@ -21,7 +21,7 @@
 
 const Endpoint kService = *Endpoint::Parse("198.18.0.1:8443");
 constexpr std::uint64_t kTarget = 7;
-constexpr std::uint64_t kStartedMs = 1;
+const Endpoint kTargetAddress = *Endpoint::Parse("10.0.0.1:80");
 constexpr Duration kLinkDelay = milliseconds(1);
 constexpr Duration kWork = milliseconds(50);
 // How often the balancer reads its socket while it does not stall.
@@ -66,9 +66,8 @@
     m_balancer.SetRoutes(table);
     TargetAnnouncement announcement;
     announcement.number = kTarget;
-    announcement.started_ms = kStartedMs;
     announcement.pool = "orders";
-    announcement.address = *Endpoint::Parse("10.0.0.1:80");
+    announcement.address = kTargetAddress;
     announcement.data_centre = "a";
     m_directory.Take(announcement, m_now);
     for (std::uint16_t port = 1; port <= 3; ++port) {
@@ -140,7 +139,7 @@
     packet.acknowledges = true;
     packet.acknowledged = m_callers[port].acknowledged;
     packet.sequence = m_callers[port].sequence;
-    packet.cookie = CookieOf(kTarget, kStartedMs);
+    packet.cookie = CookieOf(kTarget, kTargetAddress);
     packet.length = length;
     return packet;
   }
@@ -242,7 +241,8 @@
     if (!m_world.is_swept || m_now - m_swept_at < kSweepInterval) return;
     Reach(StallPoint::kBeforeSweep);
     m_swept_at = m_now;
-    m_balancer.Sweep(m_now);
+    // A probe may end a flow.
+    CPPUNIT_ASSERT(m_balancer.Sweep(m_now).empty());
   }
 
   void Apply(const Forwarding& out, std::uint32_t sequence,
--- a/tests/cookie_balancer_fixture.h
+++ b/tests/cookie_balancer_fixture.h
@@ -76,11 +76,11 @@
     m_directory.Take(announcement, m_now);
   }
 
-  // The cookie of the target's present start.
+  // The cookie of the target at its present address.
   std::uint32_t CookieOf(std::uint64_t target) const {
     const TargetDirectory::Entry* entry = m_directory.Find(target);
     return sardinelead::CookieOf(
-        target, entry == nullptr ? 0 : entry->announcement.started_ms);
+        target, entry == nullptr ? Endpoint{} : entry->announcement.address);
   }
 
   static FlowKey MakeFlowKey(std::uint16_t port, const Endpoint& service) {
@@ -153,14 +153,15 @@
     m_balancer.OnOpeningsSent(at);
   }
   void Drain() { DrainAt(m_now); }
-  // Lets time pass as a process without stalls and without packets does.
+  // Lets time pass as a process without stalls and without packets does. No
+  // flow may be probed meanwhile.
   void ReadFor(Duration span) {
     Drain();
     const TimePoint end = m_now + span;
     while (m_now < end) {
       m_now = std::min<TimePoint>(end, m_now + milliseconds(50));
       Drain();
-      m_balancer.Sweep(m_now);
+      CPPUNIT_ASSERT(m_balancer.Sweep(m_now).empty());
     }
   }
 
--- a/tests/cookie_balancer_test.cc
+++ b/tests/cookie_balancer_test.cc
@@ -10,7 +10,8 @@
   CPPUNIT_TEST_SUITE(CookieBalancerTest);
   CPPUNIT_TEST(AnyBalancerForwardsByTheCookie);
   CPPUNIT_TEST(AddressReuseLeadsNoPacketAstray);
-  CPPUNIT_TEST(RestartAtTheSameAddressGetsThePacketsOfTheEarlierStart);
+  CPPUNIT_TEST(RestartAtTheSameAddressKeepsTheCookie);
+  CPPUNIT_TEST(OpeningCopyGoesToNoOtherStart);
   CPPUNIT_TEST(UnknownCookieIsHeldNotReset);
   CPPUNIT_TEST(CopiesOfAnOpeningPacketGoToItsTarget);
   CPPUNIT_TEST(CopiesAreNotPlacedByOtherBalancers);
@@ -21,7 +22,7 @@
   CPPUNIT_TEST(AnnouncedEndResetsNoFlow);
   CPPUNIT_TEST(PacketsOfAnEndedTargetAlsoGoToItsSuccessor);
   CPPUNIT_TEST(PacketsOfAnEarlierStartAlsoGoToTheLaterOne);
-  CPPUNIT_TEST(IdleFlowsOfAnEndedTargetAreProbedOnce);
+  CPPUNIT_TEST(IdleFlowsAreProbedOnceForEachOccupant);
   CPPUNIT_TEST(EntryOfAnUnknownPoolResetsNoFlow);
   CPPUNIT_TEST(NewFlowsWithoutARouteAreRefusedAtOnce);
   CPPUNIT_TEST(PacketsWithoutARouteAreDropped);
@@ -65,14 +66,24 @@
     }
   }
 
-  void RestartAtTheSameAddressGetsThePacketsOfTheEarlierStart() {
-    const std::uint32_t earlier = CookieOf(1);
+  // Guards against packets that are held or dropped where a balancer knows
+  // another start than the one that the flow is at.
+  void RestartAtTheSameAddressKeepsTheCookie() {
+    const std::uint32_t cookie = CookieOf(1);
     AddTarget(1, "10.0.0.1:80", 900);
-    CPPUNIT_ASSERT(earlier != CookieOf(1));
-    const Forwarding next = m_balancer.OnPacket(Data(1, earlier, 1), m_now);
-    CPPUNIT_ASSERT_EQUAL(CookieOf(1), next.cookie);
+    CPPUNIT_ASSERT_EQUAL(cookie, CookieOf(1));
+    const Forwarding next = m_balancer.OnPacket(Data(1, cookie, 1), m_now);
     CPPUNIT_ASSERT(next.action == ForwardAction::kForward);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, next.target);
+    CPPUNIT_ASSERT(!next.copy.has_value());
+  }
+
+  // Guards against a flow that has two targets, the second one of another pool.
+  void OpeningCopyGoesToNoOtherStart() {
+    const std::uint64_t target = m_balancer.OnPacket(Opening(1), m_now).target;
+    AddTarget(target, "10.0.0.7:80", 900, "gallery");
+    CPPUNIT_ASSERT(m_balancer.OnPacket(OpeningCopy(1), m_now).action ==
+                   ForwardAction::kDrop);
   }
 
   void UnknownCookieIsHeldNotReset() {
@@ -191,7 +202,7 @@
     m_directory.Take(ended, m_now);
     for (int i = 0; i < 20; ++i) {
       m_now += kSecond;
-      m_balancer.Sweep(m_now);
+      CPPUNIT_ASSERT(m_balancer.Sweep(m_now).empty());
       const Forwarding next =
           m_balancer.OnPacket(Data(1, CookieOf(1), 1), m_now);
       CPPUNIT_ASSERT(next.action == ForwardAction::kForward);
@@ -227,7 +238,7 @@
 
   // Guards against callers that learn only with their next request, which may
   // not be sent twice, that their target is gone.
-  void IdleFlowsOfAnEndedTargetAreProbedOnce() {
+  void IdleFlowsAreProbedOnceForEachOccupant() {
     const Bytes bare(32, 7);
     for (const std::uint64_t target : {1, 2}) {
       const auto port = static_cast<std::uint16_t>(target);
@@ -244,6 +255,13 @@
     CPPUNIT_ASSERT(probes[0].packet == bare);
     AddTarget(8, "10.0.0.8:80", 500);
     CPPUNIT_ASSERT(m_balancer.Sweep(m_now).empty());
+    AddTarget(7, "10.0.0.1:80", 700, "gallery");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7},
+                         m_balancer.Sweep(m_now).at(0).copy.target);
+    AddTarget(2, "10.0.0.2:80", 900);  // In place.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
+                         m_balancer.Sweep(m_now).at(0).copy.target);
+    CPPUNIT_ASSERT(m_balancer.Sweep(m_now).empty());
     // The flow may be open all the same.
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_balancer.flow_count());
   }
--- a/tests/evacuation_filter_test.cc
+++ b/tests/evacuation_filter_test.cc
@@ -104,6 +104,7 @@
     CPPUNIT_ASSERT_EQUAL(opening.target, copy.target);
     const Forwarding data = m_balancer.OnPacket(Data(2, open.cookie, 9), m_now);
     CPPUNIT_ASSERT_EQUAL(open.target, data.target);
+    CPPUNIT_ASSERT(m_balancer.Sweep(m_now).empty());
   }
 
   // The flows of data centre a move to b, which comes back, and c.
--- a/tests/flow_ownership_test.cc
+++ b/tests/flow_ownership_test.cc
@@ -181,8 +181,8 @@
     After(milliseconds(700), [this, place] { Announce(place); });
   }
 
-  // A target ends. It starts again on another VM, and another target gets its
-  // address, both after a while.
+  // A target ends. After a while it starts again on the same VM, or on another
+  // one, and another target gets its address.
   void RestartTargets() {
     std::vector<std::size_t> running;
     std::vector<std::size_t> vms;
@@ -196,20 +196,23 @@
       Process& ended = m_processes[running[m_random() % running.size()]];
       ended.is_running = false;
       const std::uint64_t number = ended.number;
-      const std::size_t vm = vms[m_random() % vms.size()];
+      const bool stays = m_random() % 3 == 0;
+      const std::size_t vm =
+          stays ? VmOf(ended.address) : vms[m_random() % vms.size()];
       After(UpTo(kLongestAbsence), [this, number, vm] {
         if (!IsTaken(AddressOf(vm))) StartProcess(number, vm);
       });
       After(UpTo(kLongestAbsence), [this, address = ended.address] {
-        for (std::size_t vm = 0; vm < kVms; ++vm) {
-          const bool is_free = AddressOf(vm) == address && !IsTaken(address);
-          if (is_free) StartProcess(++m_number, vm);
-        }
+        if (!IsTaken(address)) StartProcess(++m_number, VmOf(address));
       });
     }
     After(UpTo(m_scenario.restart_interval), [this] { RestartTargets(); });
   }
 
+  static std::size_t VmOf(const Endpoint& address) {
+    return address.address.ToV4() - AddressOf(0).address.ToV4();
+  }
+
   bool IsTaken(const Endpoint& address) const {
     return std::any_of(
         m_processes.begin(), m_processes.end(), [&](const Process& process) {
--- a/tests/target_directory_test.cc
+++ b/tests/target_directory_test.cc
@@ -24,14 +24,19 @@
   return announcement;
 }
 
+std::uint32_t CookieOf(const TargetAnnouncement& announcement) {
+  return CookieOf(announcement.number, announcement.address);
+}
+
 class TargetDirectoryTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TargetDirectoryTest);
   CPPUNIT_TEST(StaleNewsIsIgnored);
   CPPUNIT_TEST(OrderOfNewsDoesNotMatter);
   CPPUNIT_TEST(RestartWithTheSameNumberReplacesTheEntry);
   CPPUNIT_TEST(NewestTargetOwnsTheAddress);
-  CPPUNIT_TEST(CookieNamesOneStart);
-  CPPUNIT_TEST(KeepsAFewStarts);
+  CPPUNIT_TEST(CookieNamesOneAddress);
+  CPPUNIT_TEST(AddressOfAnUnknownPoolIsKept);
+  CPPUNIT_TEST(KeepsAFewAddresses);
   CPPUNIT_TEST(DelayedNewsDoesNotReviveAnEndedTarget);
   CPPUNIT_TEST(RenewalKeepsTheRevision);
   CPPUNIT_TEST(SilentTargetsAreForgotten);
@@ -134,40 +139,59 @@
                      AnnouncedState::kEnded);
       CPPUNIT_ASSERT(directory.Find(2)->announcement.state ==
                      AnnouncedState::kReady);
-      CPPUNIT_ASSERT(directory.FindByCookie(CookieOf(2, 300))
+      CPPUNIT_ASSERT(directory.FindByCookie(CookieOf(new_target))
                          ->entry->announcement.number == 2);
     }
   }
 
-  // Guards against packets of one start of a target that go to the address of
-  // another start, whatever order the starts become known in.
-  void CookieNamesOneStart() {
+  // Guards against packets of flows at one address of a target that go to
+  // another, whatever order the addresses become known in.
+  void CookieNamesOneAddress() {
     const TargetAnnouncement first = MakeNews(1, 100, 9, "10.0.0.1:80");
     const TargetAnnouncement second = MakeNews(1, 300, 1, "10.0.0.2:80");
     for (const bool is_first_known_first : {true, false}) {
       TargetDirectory directory;
       directory.SetPools(kPools, m_now);
       directory.Take(is_first_known_first ? first : second, m_now);
+      const std::uint64_t revision = directory.revision();
       directory.Take(is_first_known_first ? second : first, m_now);
+      // Packets that are held for either are retried.
+      CPPUNIT_ASSERT(directory.revision() > revision);
       CPPUNIT_ASSERT(directory.Find(1)->announcement.started_ms == 300);
-      CPPUNIT_ASSERT(directory.FindByCookie(CookieOf(1, 100))->address ==
-                     first.address);
-      CPPUNIT_ASSERT(directory.FindByCookie(CookieOf(1, 300))->address ==
-                     second.address);
+      for (const TargetAnnouncement& news : {first, second}) {
+        const auto location = directory.FindByCookie(CookieOf(news));
+        CPPUNIT_ASSERT(location->address == news.address);
+        CPPUNIT_ASSERT_EQUAL(news.started_ms, location->started_ms);
+        CPPUNIT_ASSERT(directory.FindOccupant(*location).address ==
+                       second.address);
+      }
       directory.RemoveSilent(kSecond, m_now + kSecond);
-      CPPUNIT_ASSERT(!directory.FindByCookie(CookieOf(1, 100)));
-      CPPUNIT_ASSERT(!directory.FindByCookie(CookieOf(1, 300)));
+      CPPUNIT_ASSERT(!directory.FindByCookie(CookieOf(first)));
+      CPPUNIT_ASSERT(!directory.FindByCookie(CookieOf(second)));
     }
   }
 
-  // Guards against unbounded memory for a target that starts again and again.
-  void KeepsAFewStarts() {
-    for (std::uint64_t start = 1; start <= 100; ++start) {
-      m_directory.Take(MakeNews(1, start, 1, "10.0.0.1:80"), m_now);
+  // Guards against a start that stays unknown when its pool is configured.
+  void AddressOfAnUnknownPoolIsKept() {
+    m_directory.Take(MakeNews(1, 100, 1, "10.0.0.1:80"), m_now);
+    TargetAnnouncement moved = MakeNews(1, 300, 1, "10.0.0.2:80");
+    moved.pool = "unknown";
+    CPPUNIT_ASSERT(m_directory.Take(moved, m_now) ==
+                   AnnouncementEffect::kForeign);
+    CPPUNIT_ASSERT(m_directory.FindByCookie(CookieOf(moved)).has_value());
+  }
+
+  // Guards against unbounded memory for a target that moves again and again.
+  void KeepsAFewAddresses() {
+    TargetAnnouncement news = MakeNews(1, 1, 1, "10.0.0.1:80");
+    const std::uint32_t first = CookieOf(news);
+    for (; news.started_ms <= 100; ++news.started_ms, ++news.address.port) {
+      m_directory.Take(news, m_now);
     }
-    CPPUNIT_ASSERT(m_directory.Find(1)->other_starts.size() <= 8);
-    CPPUNIT_ASSERT(!m_directory.FindByCookie(CookieOf(1, 1)));
-    CPPUNIT_ASSERT(m_directory.FindByCookie(CookieOf(1, 99)).has_value());
+    CPPUNIT_ASSERT(m_directory.Find(1)->other_addresses.size() <= 8);
+    CPPUNIT_ASSERT(!m_directory.FindByCookie(first));
+    news.address.port -= 2;
+    CPPUNIT_ASSERT(m_directory.FindByCookie(CookieOf(news)).has_value());
   }
 
   void DelayedNewsDoesNotReviveAnEndedTarget() {
@@ -208,7 +232,8 @@
     CPPUNIT_ASSERT(m_directory.Find(1) != nullptr);
     m_directory.RemoveSilent(10 * kSecond, m_now + 10 * kSecond);
     CPPUNIT_ASSERT(m_directory.Find(1) == nullptr);
-    CPPUNIT_ASSERT(!m_directory.FindByCookie(CookieOf(1, 100)));
+    CPPUNIT_ASSERT(!m_directory.FindByCookie(
+        CookieOf(1, *Endpoint::Parse("10.0.0.1:80"))));
     // The address is free again.
     m_directory.Take(MakeNews(2, 50, 1, "10.0.0.1:80"), m_now + 10 * kSecond);
     CPPUNIT_ASSERT(StateOf(2) == AnnouncedState::kReady);
