A held packet keeps its age when it is retried

Cause: each retry took a held packet out and added it again as new, so while tables or targets changed more often than every 1.2 s it stayed for ever, took one of 512 places, and kept a balancer that is to exit from being idle.

Change: PacketHold::Retry() passes the packets to the forwarder and keeps what is not yet forwarded, with the time of its arrival.

FlowOwnershipTest retries only after a change, as the edge does.

--- a/src/packet_hold.cc
+++ b/src/packet_hold.cc
@@ -12,17 +12,16 @@
   m_packets.push_back({now, Bytes(packet.begin(), packet.end())});
 }
 
-std::vector<Bytes> PacketHold::TakeAll(TimePoint now) {
-  std::vector<Bytes> taken;
-  for (HeldPacket& held : m_packets) {
-    if (now - held.at <= m_settings.max_age) {
-      taken.push_back(std::move(held.packet));
-    } else {
+void PacketHold::Retry(TimePoint now,
+                       const std::function<bool(ByteView)>& forward) {
+  std::deque<HeldPacket> held = std::exchange(m_packets, {});
+  for (HeldPacket& packet : held) {
+    if (now - packet.at > m_settings.max_age) {
       ++m_dropped;
+      continue;
     }
+    if (!forward(packet.packet)) m_packets.push_back(std::move(packet));
   }
-  m_packets.clear();
-  return taken;
 }
 
 }  // namespace sardinelead
--- a/src/packet_hold.h
+++ b/src/packet_hold.h
@@ -8,7 +8,7 @@
 
 #include <cstddef>
 #include <deque>
-#include <vector>
+#include <functional>
 
 #include "sardinelead/types.h"
 
@@ -26,9 +26,10 @@
 
   // Drops the oldest packet if the buffer is full.
   void Add(ByteView packet, TimePoint now);
-  // Removes all packets and returns those not older than `max_age`, oldest
-  // first.
-  std::vector<Bytes> TakeAll(TimePoint now);
+  // Passes the packets that were added at most `max_age` ago to `forward`,
+  // oldest first, and keeps those for which it returns false. Drops the others.
+  // `forward` must not call this object.
+  void Retry(TimePoint now, const std::function<bool(ByteView)>& forward);
   bool empty() const { return m_packets.empty(); }
   std::size_t dropped() const { return m_dropped; }  // NOLINT
 
--- a/tests/cookie_balancer_test.cc
+++ b/tests/cookie_balancer_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(RequestAnsweredViaAnotherBalancerIsNotLoad);
   CPPUNIT_TEST(ForgetsIdleFlows);
   CPPUNIT_TEST(PacketHoldIsBounded);
+  CPPUNIT_TEST(HeldPacketsExpireThoughTheyAreRetried);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -428,11 +429,37 @@
     settings.max_packets = 2;
     PacketHold hold(settings);
     for (std::uint8_t i = 0; i < 3; ++i) hold.Add(Bytes{i}, m_now);
-    auto taken = hold.TakeAll(m_now);
-    CPPUNIT_ASSERT(taken == std::vector<Bytes>({{1}, {2}}));
+    const std::vector<std::uint8_t> both{1, 2};
+    CPPUNIT_ASSERT(Retry(&hold, true) == both);
+    CPPUNIT_ASSERT(hold.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hold.dropped());
+  }
+
+  // Guards against packets that are sent many seconds late, since each retry
+  // restarted their age.
+  void HeldPacketsExpireThoughTheyAreRetried() {
+    PacketHold hold{PacketHoldSettings{}};
     hold.Add(Bytes{7}, m_now);
-    CPPUNIT_ASSERT(hold.TakeAll(m_now + 2 * kSecond).empty());
+    const std::vector<std::uint8_t> one{7};
+    for (int i = 0; i < 2; ++i) {
+      m_now += milliseconds(600);
+      CPPUNIT_ASSERT(Retry(&hold, false) == one);
+    }
+    m_now += milliseconds(1);
+    CPPUNIT_ASSERT(Retry(&hold, false).empty());
+    CPPUNIT_ASSERT(hold.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hold.dropped());
+  }
+
+ private:
+  // Returns the first bytes of the packets that are retried.
+  std::vector<std::uint8_t> Retry(PacketHold* hold, bool is_forwarded) const {
+    std::vector<std::uint8_t> retried;
+    hold->Retry(m_now, [&](ByteView packet) {
+      retried.push_back(packet.data[0]);
+      return is_forwarded;
+    });
+    return retried;
   }
 };
 
--- a/tests/flow_ownership_test.cc
+++ b/tests/flow_ownership_test.cc
@@ -174,8 +174,9 @@
     announcement.data_centre = "a";
     for (const auto& node : m_nodes) {
       After(UpTo(m_scenario.feed_delay), [this, announcement, &node = *node] {
+        const std::uint64_t revision = node.directory.revision();
         node.directory.Take(announcement, m_now);
-        RetryHeld(&node);
+        if (node.directory.revision() != revision) RetryHeld(&node);
       });
     }
     After(milliseconds(700), [this, place] { Announce(place); });
