--- a/include/sardinelead/target_directory.h
+++ b/include/sardinelead/target_directory.h
@@ -73,7 +73,7 @@
   kRenewed,  // The target is alive; nothing relevant changed.
   kChanged,  // A field that balancers act on changed, or it became cold again.
   kForeign,  // For a pool that is not configured, with the number of a target
-             // of a configured one; ignored.
+             // of a configured one; only its address is kept.
 };
 const char* Name(AnnouncementEffect effect);
 
@@ -127,7 +127,8 @@
 
   // Incremented by each change.
   std::uint64_t revision() const { return m_revision; }  // NOLINT
-  // Incremented by each change of the result of FindOccupant().
+  // Incremented by each announcement that may change what FindOccupant()
+  // returns.
   std::uint64_t occupant_revision() const {  // NOLINT
     return m_occupant_revision;
   }
