Held packets stay valid until the batch with them is sent

Cause: a forwarded packet's data is handed to the socket at the end of a batch, and Retry() freed the packets it had passed on when it returned, before the edge flushed the batch.

Change: Retry() calls a flush function while all packets that it passed on are valid.

Tests: HeldPacketsExpireThoughTheyAreRetried and PacketHoldIsBounded read the packets when the batch is flushed, so that the address sanitizer sees packets that are freed earlier.

--- a/src/packet_hold.cc
+++ b/src/packet_hold.cc
@@ -13,7 +13,8 @@
 }
 
 void PacketHold::Retry(TimePoint now,
-                       const std::function<bool(ByteView)>& forward) {
+                       const std::function<bool(ByteView)>& forward,
+                       const std::function<void()>& flush) {
   std::deque<HeldPacket> held = std::exchange(m_packets, {});
   for (HeldPacket& packet : held) {
     if (now - packet.at > m_settings.max_age) {
@@ -22,6 +23,7 @@
     }
     if (!forward(packet.packet)) m_packets.push_back(std::move(packet));
   }
+  flush();
 }
 
 }  // namespace sardinelead
--- a/src/packet_hold.h
+++ b/src/packet_hold.h
@@ -28,8 +28,10 @@
   void Add(ByteView packet, TimePoint now);
   // Passes the packets that were added at most `max_age` ago to `forward`,
   // oldest first, and keeps those for which it returns false. Drops the others.
-  // `forward` must not call this object.
-  void Retry(TimePoint now, const std::function<bool(ByteView)>& forward);
+  // Calls `flush` while all packets that were passed are still valid. Neither
+  // function may call this object.
+  void Retry(TimePoint now, const std::function<bool(ByteView)>& forward,
+             const std::function<void()>& flush);
   bool empty() const { return m_packets.empty(); }
   std::size_t dropped() const { return m_dropped; }  // NOLINT
 
--- a/tests/cookie_balancer_test.cc
+++ b/tests/cookie_balancer_test.cc
@@ -452,13 +452,22 @@
   }
 
  private:
-  // Returns the first bytes of the packets that are retried.
+  // Returns the first bytes of the packets that are retried, as read when the
+  // batch is flushed. Guards against packets that are freed before that.
   std::vector<std::uint8_t> Retry(PacketHold* hold, bool is_forwarded) const {
     std::vector<std::uint8_t> retried;
-    hold->Retry(m_now, [&](ByteView packet) {
-      retried.push_back(packet.data[0]);
-      return is_forwarded;
-    });
+    std::vector<ByteView> batch;
+    hold->Retry(
+        m_now,
+        [&](ByteView packet) {
+          batch.push_back(packet);
+          return is_forwarded;
+        },
+        [&] {
+          for (const ByteView packet : batch) {
+            retried.push_back(packet.data[0]);
+          }
+        });
     return retried;
   }
 };
