Soak: targets start again under their numbers; the ledger tells starts apart

The ledger took a number for a process: after a restart, flows of the ended start and of the living one would both have counted as down.

Change: with each fault, one target crashes or leaves. Two of three start again under their numbers with a new `born`, at the same address or, half of them, at a free one, while their address goes to another target. An address is bound again only once the earlier process has closed its socket; until now a process that ended in a pause could still hold it. The ledger goes by the id of a start. Changes of targets draw from a generator of their own, so that a seed draws the same faults as before.

--- a/soak/actors.cc
+++ b/soak/actors.cc
@@ -43,17 +43,17 @@
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_in_rotation = std::move(edges);
 }
-std::uint64_t SoakState::TargetAt(const Endpoint& address) const {
+TargetStart SoakState::TargetAt(const Endpoint& address) const {
   const std::lock_guard<std::mutex> lock(m_mutex);
   const auto found = m_targets.find(address);
-  return found == m_targets.end() ? 0 : found->second;
+  return found == m_targets.end() ? TargetStart{} : found->second;
 }
-void SoakState::SetTargetAt(const Endpoint& address, std::uint64_t number) {
+void SoakState::SetTargetAt(const Endpoint& address, const TargetStart& start) {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  m_targets[address] = number;
+  m_targets[address] = start;
 }
 
-std::vector<std::pair<Endpoint, std::uint64_t>> SoakState::Targets() const {
+std::vector<std::pair<Endpoint, TargetStart>> SoakState::Targets() const {
   const std::lock_guard<std::mutex> lock(m_mutex);
   return {m_targets.begin(), m_targets.end()};
 }
@@ -62,13 +62,13 @@
                          std::string pool, const Endpoint& address,
                          std::string data_centre, std::uint64_t seed)
     : m_state(world),
-      m_number(number),
+      m_start{world->NextStart(), number},
       m_pool(std::move(pool)),
       m_address(address),
       m_data_centre(std::move(data_centre)),
       m_random(seed),
       m_started_ms(UnixMs()) {
-  world->SetTargetAt(address, number);
+  world->SetTargetAt(address, m_start);
   m_server = std::thread([this] { Serve(); });
   m_announcer = std::thread([this] { Announce(); });
 }
@@ -80,24 +80,30 @@
 }
 
 void TargetActor::Crash() {
-  m_state->ledger.OnTargetDown(m_number);
+  m_state->ledger.OnTargetDown(m_start.id);
   m_is_down = true;
 }
 void TargetActor::Leave() { m_is_leaving = true; }
 
 void TargetActor::Serve() {
-  const UdpSocket socket(m_address);
-  while (!m_is_down) {
-    Endpoint source;
-    auto datagram =
-        socket.Receive(milliseconds(m_held.empty() ? 20 : 1), &source);
-    if (!datagram && m_held.empty()) m_read_all_at = SteadyNow();
-    RetransmitOpeningAnswers(socket);
-    if (datagram) Hold(source.address.ToV4(), *std::move(datagram));
-    while (!m_held.empty() && m_held.begin()->first <= SteadyNow()) {
-      const auto held = m_held.extract(m_held.begin());
-      OnDatagram(held.mapped().first, held.mapped().second, socket);
-    }
+  {
+    const UdpSocket socket(m_address);
+    while (!m_is_down) ServeOnce(socket);
+  }
+  m_has_ended = true;
+}
+
+void TargetActor::ServeOnce(const UdpSocket& socket) {
+  Endpoint source;
+  auto datagram =
+      socket.Receive(milliseconds(m_held.empty() ? 20 : 1), &source);
+  if (!datagram && m_held.empty()) m_read_all_at = SteadyNow();
+  RetransmitOpeningAnswers(socket);
+  if (datagram) Hold(source.address.ToV4(), *std::move(datagram));
+  while (!m_is_down && !m_held.empty() &&
+         m_held.begin()->first <= SteadyNow()) {
+    const auto held = m_held.extract(m_held.begin());
+    OnDatagram(held.mapped().first, held.mapped().second, socket);
   }
 }
 
@@ -114,7 +120,7 @@
                              const UdpSocket& socket) {
   if (datagram.size() < 8) return;
   // Addressed to an earlier target at this address; ignored.
-  if (LoadBigEndian<std::uint64_t>(datagram.data()) != m_number) return;
+  if (LoadBigEndian<std::uint64_t>(datagram.data()) != m_start.number) return;
   bool is_whole = false;
   const auto packet = Packet::Decode(
       ByteView(datagram.data() + 8, datagram.size() - 8), &is_whole);
@@ -157,7 +163,7 @@
   if (is_new) {
     flow.sequence = static_cast<std::uint32_t>(m_random());
     flow.next = packet.sequence + 1;
-    m_state->ledger.OnOpened(m_number, m_pool, packet.destination, edge,
+    m_state->ledger.OnOpened(m_start.id, m_pool, packet.destination, edge,
                              SteadyNow());
     m_state->ledger.OnNewFlow(m_data_centre, edge, m_read_all_at);
   }
@@ -200,7 +206,7 @@
   const bool is_next = packet.sequence == flow.next && packet.data.size() >= 9;
   if (is_next) {
     const auto request = LoadBigEndian<std::uint64_t>(packet.data.data());
-    m_state->ledger.OnRun(request, m_number, packet.data[8] != 0);
+    m_state->ledger.OnRun(request, m_start.id, packet.data[8] != 0);
     flow.next += static_cast<std::uint32_t>(packet.data.size());
     flow.answer = Bytes(packet.data.begin(), packet.data.begin() + 8);
     flow.answer.resize(kAnswerBytes, kAnswerFill);
@@ -231,7 +237,7 @@
                      {"born", m_started_ms}};
   char id[24];
   std::snprintf(id, sizeof(id), "i-%010llx",
-                static_cast<unsigned long long>(m_number));  // NOLINT
+                static_cast<unsigned long long>(m_start.number));  // NOLINT
   const std::uint32_t control =
       m_state->controls[m_control % m_state->controls.size()];
   const auto answer = CallControl(
@@ -240,7 +246,7 @@
   const bool is_done = answer && answer->status == 200;
   if (!is_done) ++m_control;
   if (is_done && state == std::string("draining")) {
-    m_state->ledger.OnDrainAcknowledged(m_number, control);
+    m_state->ledger.OnDrainAcknowledged(m_start.id, control);
   }
   return is_done;
 }
@@ -260,7 +266,7 @@
     Sleep(is_done ? kHeartbeat : milliseconds(50));
   }
   if (!m_is_down) PostInstance("/deregister", "draining");
-  m_state->ledger.OnTargetDown(m_number);
+  m_state->ledger.OnTargetDown(m_start.id);
   m_is_down = true;
 }
 
--- a/soak/actors.h
+++ b/soak/actors.h
@@ -42,6 +42,13 @@
   Duration max_interval = std::chrono::milliseconds(1500);
 };
 
+// One start of a target. A target may start again under its number, and then
+// has no flow of before.
+struct TargetStart {
+  std::uint64_t id = 0;  // Of this start only, from 1.
+  std::uint64_t number = 0;
+};
+
 // State shared by all actors.
 struct SoakState {
   Ledger ledger;
@@ -63,20 +70,23 @@
   // Edges that the routers currently send traffic to.
   std::vector<std::uint32_t> InRotation() const;
   void SetInRotation(std::vector<std::uint32_t> edges);
-  // The most recent target at an address, or 0 if there was none.
-  std::uint64_t TargetAt(const Endpoint& address) const;
-  void SetTargetAt(const Endpoint& address, std::uint64_t number);
-  // All addresses that were in use, with the most recent target at each.
-  std::vector<std::pair<Endpoint, std::uint64_t>> Targets() const;
+  // The most recent start at an address; its id is 0 if there was none.
+  TargetStart TargetAt(const Endpoint& address) const;
+  void SetTargetAt(const Endpoint& address, const TargetStart& start);
+  // All addresses that were in use, with the most recent start at each.
+  std::vector<std::pair<Endpoint, TargetStart>> Targets() const;
   std::uint64_t NextRequest() { return ++m_last_request; }
+  std::uint64_t NextStart() { return ++m_last_start; }
 
  private:
   mutable std::mutex m_mutex;
   std::vector<std::uint32_t> m_in_rotation;
-  std::map<Endpoint, std::uint64_t> m_targets;
+  std::map<Endpoint, TargetStart> m_targets;
   std::atomic<std::uint64_t> m_last_request{0};
+  std::atomic<std::uint64_t> m_last_start{0};
 };
 
+// One start of a target.
 class TargetActor {
  public:
   TargetActor(SoakState* world, std::uint64_t number, std::string pool,
@@ -86,9 +96,11 @@
 
   void Crash();  // Stops without deregistering.
   void Leave();  // Drains, then deregisters.
-  bool IsRunning() const { return !m_is_down; }
-  const Endpoint& address() const { return m_address; }  // NOLINT
-  std::uint64_t number() const { return m_number; }      // NOLINT
+  // Whether the process has ended and its address is free.
+  bool HasEnded() const { return m_has_ended; }
+  const Endpoint& address() const { return m_address; }    // NOLINT
+  std::uint64_t number() const { return m_start.number; }  // NOLINT
+  const std::string& pool() const { return m_pool; }       // NOLINT
 
  private:
   struct Flow {
@@ -105,6 +117,7 @@
   };
 
   void Serve();
+  void ServeOnce(const class UdpSocket& socket);
   // Takes a datagram that `edge` has sent and its link has not carried yet.
   void Hold(std::uint32_t edge, Bytes datagram);
   void OnDatagram(std::uint32_t edge, const Bytes& datagram,
@@ -119,7 +132,7 @@
   bool PostInstance(const char* call, const char* state);
 
   SoakState* m_state;
-  const std::uint64_t m_number;
+  const TargetStart m_start;
   const std::string m_pool;
   const Endpoint m_address;
   const std::string m_data_centre;
@@ -132,6 +145,7 @@
   std::multimap<TimePoint, std::pair<std::uint32_t, Bytes>> m_held;
   std::atomic<bool> m_is_down{false};
   std::atomic<bool> m_is_leaving{false};
+  std::atomic<bool> m_has_ended{false};
   std::map<std::pair<Endpoint, Endpoint>, Flow> m_flows;
   std::thread m_server;
   std::thread m_announcer;
--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -44,7 +44,7 @@
       m_acknowledged = answer->sequence + 1;
       m_is_open = true;
       m_opened_at = m_answered_by;
-      m_target = m_state->TargetAt(m_opened_at);
+      m_target = m_state->TargetAt(m_opened_at).id;
       Send(Make(kAcknowledge));
       return true;
     }
@@ -189,7 +189,7 @@
   bool m_is_reset = false;
   Endpoint m_answered_by;      // Source of the last accepted packet.
   Endpoint m_opened_at;        // Address of the target the flow opened at.
-  std::uint64_t m_target = 0;  // That target's number.
+  std::uint64_t m_target = 0;  // The id of that target's start.
 };
 
 // Picks a random service; 70% of the picks always have a route.
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -52,7 +52,8 @@
   void OnEvacuationAcknowledged(const std::string& data_centre);
   void OnEvacuationFinishing(const std::string& data_centre);
 
-  // Targets.
+  // Targets. `target` is the id of one start of a target, never a number,
+  // which a later start may have as well.
   void OnDrainAcknowledged(std::uint64_t target, std::uint32_t control);
   void OnTargetDown(std::uint64_t target);
   void OnOpened(std::uint64_t target, const std::string& pool,
--- a/soak/odd_writer.cc
+++ b/soak/odd_writer.cc
@@ -79,10 +79,10 @@
     Sleep(milliseconds(20 + random() % 200));
     const auto targets = world->Targets();
     if (targets.empty()) continue;
-    const auto& [address, number] = targets[random() % targets.size()];
+    const auto& [address, start] = targets[random() % targets.size()];
     // Its own id, or that of the target.
     const std::uint64_t claimed =
-        random() % 2 == 0 ? number : 0x900000 + random() % 1000;
+        random() % 2 == 0 ? start.number : 0x900000 + random() % 1000;
     char path[48];
     std::snprintf(path, sizeof(path), "/instances/i-%010llx/heartbeat",
                   static_cast<unsigned long long>(claimed));  // NOLINT
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -19,6 +19,7 @@
 
 constexpr std::uint16_t kInternalPort = 7720;
 constexpr std::uint64_t kMaxDescriptors = 4096;  // Of a balancer.
+constexpr std::size_t kPlacesPerFreePlace = 4;   // Of targets.
 
 std::string Text(std::uint32_t node) {
   return IpAddress::FromV4(node).ToString();
@@ -42,6 +43,7 @@
     : m_settings(settings),
       m_state(world),
       m_random(settings.seed),
+      m_change_random(settings.seed + 2),
       m_relay(&m_context, kInternalPort, settings.seed) {
   const auto base = static_cast<std::uint32_t>(127U << 24) |
                     static_cast<std::uint32_t>(settings.network) << 16;
@@ -81,9 +83,10 @@
     const auto work = asio::make_work_guard(m_context);
     m_context.run();
   });
-  for (int i = 0; i < m_settings.targets; ++i) {
-    m_targets.emplace_back();
-    AddTarget(static_cast<std::size_t>(i));
+  const auto targets = static_cast<std::size_t>(m_settings.targets);
+  m_targets.resize(targets + targets / kPlacesPerFreePlace + 1);
+  for (std::size_t place = 0; place < targets; ++place) {
+    AddTarget(place, NewIdentity(place));
   }
 }
 
@@ -362,6 +365,7 @@
 }
 
 void System::InjectFault() {
+  ChangeTarget();
   const std::uint64_t draw = m_random() % 16;
   Process* control = PickProcess(true);
   Process* edge = PickProcess(false);
@@ -462,8 +466,9 @@
     later.action();
   }
   m_relay.Clear();
-  for (std::size_t place = 0; place < m_targets.size(); ++place) {
-    AddSuccessor(place);
+  const auto targets = static_cast<std::size_t>(m_settings.targets);
+  for (std::size_t place = 0; place < targets; ++place) {
+    if (m_targets[place] == nullptr) AddSuccessor(place, NewIdentity(place));
   }
 }
 
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -37,14 +37,20 @@
   Duration share_period = std::chrono::milliseconds(100);
 };
 
+// What a target keeps when it starts again.
+struct TargetIdentity {
+  std::uint64_t number = 0;
+  std::string pool;
+};
+
 class System {
  public:
   System(const SoakSettings& settings, SoakState* world);
   ~System();
 
   void Start();
-  // Injects one random fault or planned operation. Some continue in the
-  // background and overlap with later ones.
+  // Injects one random fault or planned operation and changes a target. Some
+  // faults continue in the background and overlap with later ones.
   void InjectFault();
   // Ends all faults and restarts what is down.
   void ClearFaults();
@@ -77,9 +83,12 @@
   void Launch(Process* process);
   void WriteSettings(const Process& process, bool is_first);
   Endpoint AddressOfTarget(std::size_t place) const;
-  void AddTarget(std::size_t place);
-  // Adds a target once no other process has its address.
-  void AddSuccessor(std::size_t place);
+  TargetIdentity NewIdentity(std::size_t place);
+  void AddTarget(std::size_t place, const TargetIdentity& identity);
+  // Adds a target once no other process has its address or its number.
+  void AddSuccessor(std::size_t place, const TargetIdentity& identity);
+  void ScheduleTarget(std::size_t place, const TargetIdentity& identity,
+                      Duration delay);
   Process* PickProcess(bool is_control);
   Duration RandomSpan(int from_ms, int to_ms);
   void Schedule(Duration delay, std::function<void()> action);
@@ -95,16 +104,20 @@
   void CorruptDisk(Process* process);
   void DisruptCalls(Process* process);
   void ChangeTarget();
+  void ChangeTarget(std::size_t place);
+  std::size_t PickPlaceAfter(std::size_t place);
   void RestartEdges();
   void ApplyShares(TimePoint now);
 
   SoakSettings m_settings;
   SoakState* m_state;
   std::mt19937_64 m_random;
+  std::mt19937_64 m_change_random;  // For changes of targets.
   asio::io_context m_context;
   PeerRelay m_relay;
   std::map<std::uint32_t, std::unique_ptr<CallRelay>> m_call_relays;
   std::vector<std::unique_ptr<Process>> m_processes;
+  // By place. Some of the last places are free for targets that start again.
   std::vector<std::unique_ptr<TargetActor>> m_targets;
   std::vector<std::unique_ptr<TargetActor>> m_retired_targets;
   std::vector<ScheduledAction> m_scheduled;
--- a/tests/soak_ledger_test.cc
+++ b/tests/soak_ledger_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(CatchesAResetByAnotherTarget);
   CPPUNIT_TEST(CatchesAResetAfterAFault);
   CPPUNIT_TEST(AllowsAResetOfAFlowWhoseTargetIsDown);
+  CPPUNIT_TEST(TellsStartsOfOneTargetApart);
   CPPUNIT_TEST(CatchesANewFlowInAnEvacuatedDataCentre);
   CPPUNIT_TEST(RequiresEvacuationsAfterFaultsOfTheBalancer);
   CPPUNIT_TEST(CatchesABalancerThatStartsWithoutTheEvacuation);
@@ -111,6 +112,22 @@
     m_ledger.OnReset(6, true, kEdge, kService, "its target is down");
     AssertViolation(false);
   }
+  // A target that starts again under its number gets another id: neither the
+  // drain nor the end of its earlier start concerns the later one.
+  void TellsStartsOfOneTargetApart() {
+    constexpr std::uint64_t kEarlier = 6;
+    constexpr std::uint64_t kLater = 7;
+    m_ledger.SkipTime(kStableTime + kConfigApplyLimit);
+    m_ledger.OnDrainAcknowledged(kEarlier, kEdge + 1);
+    m_ledger.OnTargetDown(kEarlier);
+    m_ledger.SkipTime(kStableTime + kDrainLimit);
+    m_ledger.OnOpened(kLater, "orders", kService, kEdge, SteadyNow());
+    m_ledger.OnReset(kEarlier, true, kEdge, kService, "ended");
+    m_ledger.OnResetByOtherTarget(kEarlier, "ended");
+    AssertViolation(false);
+    m_ledger.OnReset(kLater, true, kEdge, kService, "the later one lives");
+    AssertViolation(true);
+  }
   // Only the order of that data centre counts, and only until its finish.
   void CatchesANewFlowInAnEvacuatedDataCentre() {
     m_ledger.OnEvacuationAcknowledged("a");
