--- a/soak/actors.cc
+++ b/soak/actors.cc
@@ -26,6 +26,9 @@
 // pause in this many is a long one.
 constexpr std::uint64_t kPauseInterval = 20;
 constexpr std::uint64_t kLongPauseInterval = 20;
+// The clock of a target's VM is right, or behind or ahead by this. The platform
+// steps clocks by as much (`clock_step` of linaw-lb-large).
+constexpr std::uint64_t kMaxClockErrorMs = 2400;
 
 std::uint64_t UnixMs() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -33,6 +36,11 @@
       std::chrono::duration_cast<milliseconds>(now).count());
 }
 
+// The time by the clock of one of the targets' VMs, which differ.
+std::uint64_t UnixMsByOwnClock(std::mt19937_64* random) {
+  return UnixMs() - kMaxClockErrorMs + (*random)() % 3 * kMaxClockErrorMs;
+}
+
 }  // namespace
 
 std::vector<std::uint32_t> SoakState::InRotation() const {
@@ -67,7 +75,7 @@
       m_address(address),
       m_data_centre(std::move(data_centre)),
       m_random(seed),
-      m_started_ms(UnixMs()) {
+      m_started_ms(UnixMsByOwnClock(&m_random)) {
   world->SetTargetAt(address, m_start);
   m_server = std::thread([this] { Serve(); });
   m_announcer = std::thread([this] { Announce(); });
