Soak: late news, and a strict rule for open flows

Change: a reset of an open flow by a balancer is a violation unless the start that it opened at has ended. Three packets of an open flow within 1 s or more at other targets while its own, not paused, reads none are a violation (StrayPacketCheck); the platform allows 2 s, but callers here send the last copy after 1.4 s. With every second fault, a balancer is cut off from half of the control VMs for 4 to 6 s. The ledger counts overlapping faults of a node; the end of one ended all.

--- a/soak/actors.cc
+++ b/soak/actors.cc
@@ -127,14 +127,19 @@
 void TargetActor::OnDatagram(std::uint32_t edge, const Bytes& datagram,
                              const UdpSocket& socket) {
   if (datagram.size() < 8) return;
-  // Addressed to an earlier target at this address; ignored.
-  if (LoadBigEndian<std::uint64_t>(datagram.data()) != m_start.number) return;
   bool is_whole = false;
   const auto packet = Packet::Decode(
       ByteView(datagram.data() + 8, datagram.size() - 8), &is_whole);
-  if (packet && is_whole) return OnPacket(*packet, edge, socket);
-  m_state->ledger.AddViolation(
-      "a target got a packet that its caller did not send");
+  if (!packet || !is_whole) {
+    return m_state->ledger.AddViolation(
+        "a target got a packet that its caller did not send");
+  }
+  if (LoadBigEndian<std::uint64_t>(datagram.data()) == m_start.number) {
+    return OnPacket(*packet, edge, socket);
+  }
+  // Addressed to another target, such as an earlier one at this address.
+  if ((packet->flags & kOpen) != 0) return;
+  m_state->ledger.OnStrayPacket({packet->source, packet->destination});
 }
 
 // The process gets no processor for a while. All that it would do waits.
@@ -143,8 +148,10 @@
       m_state->do_targets_pause && m_random() % kPauseInterval == 0;
   if (!is_paused) return;
   const bool is_long = m_random() % kLongPauseInterval == 0;
+  m_state->ledger.OnPaused(m_start.id);
   Sleep(
       milliseconds(is_long ? 700 + m_random() % 1800 : 60 + m_random() % 100));
+  m_state->ledger.OnContinued(m_start.id);
 }
 
 // An opening answer that the caller does not acknowledge is sent again, also
@@ -211,6 +218,7 @@
   }
   Flow& flow = found->second;
   flow.is_open = true;
+  m_state->ledger.OnOwnPacket(found->first, m_start.id);
   const bool is_next = packet.sequence == flow.next && packet.data.size() >= 9;
   if (is_next) {
     const auto request = LoadBigEndian<std::uint64_t>(packet.data.data());
--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -169,7 +169,7 @@
   }
 
   void OnBalancersReset(std::uint32_t edge) {
-    m_state->ledger.OnReset(m_target, m_is_open, edge, m_service, Describe());
+    m_state->ledger.OnReset(m_target, m_is_open, edge, Describe());
   }
 
   void OnTargetsReset(const Endpoint& sender) {
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -40,7 +40,8 @@
 
 void Ledger::EndFault(std::uint32_t node, bool is_control) {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  m_active_faults.erase(node);
+  const auto fault = m_active_faults.find(node);
+  if (fault != m_active_faults.end()) m_active_faults.erase(fault);
   m_evacuation_check.EndFault(node, Time());
   m_fault_at[node] = Time();
   if (is_control) m_control_fault_at = Time();
@@ -129,6 +130,7 @@
 void Ledger::OnTargetDown(std::uint64_t target) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_down_targets.insert(target);
+  m_stray_packet_check.OnTargetDown(target);
 }
 
 std::uint64_t Ledger::NewestRequired(TimePoint at) const {
@@ -222,21 +224,12 @@
 }
 
 void Ledger::OnReset(std::uint64_t target, bool is_open, std::uint32_t edge,
-                     const Endpoint& service, const std::string& what) {
+                     const std::string& what) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   ++m_resets;
-  const TimePoint now = Time();
-  const std::uint64_t floor = NewestRequired(now);
-  bool has_route = true;
-  for (const auto& [version, config] : m_configs) {
-    if (version < floor) continue;
-    has_route = has_route && config.routes.count(service) != 0;
-  }
-  if (!has_route || floor == 0) return;
-  if (is_open && m_down_targets.count(target) == 0) {
-    AddViolationLocked("an open flow was reset by " +
-                       IpAddress::FromV4(edge).ToString() + ": " + what);
-  }
+  if (!is_open || m_down_targets.count(target) != 0) return;
+  AddViolationLocked("an open flow was reset by " +
+                     IpAddress::FromV4(edge).ToString() + ": " + what);
 }
 
 void Ledger::OnResetByOtherTarget(std::uint64_t target,
@@ -247,6 +240,29 @@
   AddViolationLocked("an open flow was reset by another target: " + what);
 }
 
+void Ledger::OnOwnPacket(const FlowEnds& flow, std::uint64_t target) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_stray_packet_check.OnOwnPacket(flow, target);
+}
+
+void Ledger::OnStrayPacket(const FlowEnds& flow) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_strays;
+  if (!m_stray_packet_check.OnStrayPacket(flow, Time())) return;
+  AddViolationLocked("packets of an open flow went to other targets: " +
+                     flow.first.ToString() + " to " + flow.second.ToString());
+}
+
+void Ledger::OnPaused(std::uint64_t target) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_stray_packet_check.OnPaused(target);
+}
+
+void Ledger::OnContinued(std::uint64_t target) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_stray_packet_check.OnContinued(target);
+}
+
 void Ledger::OnProcessEnded(const std::string& name, int status) {
   AddViolation("process " + name + " ended by itself, status " +
                std::to_string(status));
@@ -279,6 +295,7 @@
          " late, longest wait " + Milliseconds(m_longest_wait) + "), " +
          std::to_string(m_failed) + " failed, " + std::to_string(m_opened) +
          " flows opened, " + std::to_string(m_resets) + " resets, " +
+         std::to_string(m_strays) + " packets at other targets, " +
          std::to_string(m_configs.size()) + " configurations, " +
          std::to_string(m_reads) + " reads, " + std::to_string(m_evacuations) +
          " evacuations, " + std::to_string(m_lost_at_links) + " lost at links";
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -8,8 +8,9 @@
 // kStableTime there was no fault at the node, on its links or at a control
 // node. Planned work affects only the process that it stops.
 //
-// One applies whatever faults there are: an open flow whose target lives and
-// whose route stands is reset neither by a balancer nor by another target.
+// Some apply whatever faults and configurations there are: an open flow whose
+// target lives is reset neither by a balancer nor by another target, and its
+// packets do not go to other targets in place of its own.
 //
 // Thread-safe.
 
@@ -23,6 +24,7 @@
 #include "clock.h"
 #include "evacuation_check.h"
 #include "sardinelead/types.h"
+#include "stray_packet_check.h"
 
 namespace sardinelead::soak {
 
@@ -76,12 +78,19 @@
   void OnFailed(std::uint64_t request);
   // Records a reset that the flow's target did not send.
   void OnReset(std::uint64_t target, bool is_open, std::uint32_t edge,
-               const Endpoint& service, const std::string& what);
+               const std::string& what);
   // Records that a target other than the flow's own reset an open flow. A
   // target resets each packet of a flow that it does not hold, so this also
   // shows packets that go to another target.
   void OnResetByOtherTarget(std::uint64_t target, const std::string& what);
 
+  // Records a packet of a flow that is open at the target that read it, and one
+  // that a target ignored since it was addressed to another.
+  void OnOwnPacket(const FlowEnds& flow, std::uint64_t target);
+  void OnStrayPacket(const FlowEnds& flow);
+  void OnPaused(std::uint64_t target);
+  void OnContinued(std::uint64_t target);
+
   void OnProcessEnded(const std::string& name, int status);
   void AddViolation(const std::string& what);
 
@@ -113,11 +122,12 @@
   mutable std::mutex m_mutex;
   std::map<std::uint32_t, TimePoint> m_fault_at;
   std::map<std::uint32_t, TimePoint> m_stopped_at;
-  std::set<std::uint32_t> m_active_faults;
+  std::multiset<std::uint32_t> m_active_faults;  // Faults may overlap.
   Duration m_skipped{0};
   TimePoint m_control_fault_at = SteadyNow();
   std::map<std::uint64_t, Config> m_configs;
   EvacuationCheck m_evacuation_check;
+  StrayPacketCheck m_stray_packet_check;
   std::uint64_t m_newest_accepted = 0;
   // When a stable control process acknowledged the drain, by target.
   std::map<std::uint64_t, TimePoint> m_drains;
@@ -129,6 +139,7 @@
   std::uint64_t m_failed = 0;
   std::uint64_t m_opened = 0;
   std::uint64_t m_resets = 0;
+  std::uint64_t m_strays = 0;
   std::uint64_t m_reads = 0;
   std::uint64_t m_evacuations = 0;
   std::uint64_t m_lost_at_links = 0;
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -253,6 +253,27 @@
   });
 }
 
+// A balancer that hears only half of the control nodes knows some targets, and
+// does not learn of the starts and ends of others.
+void System::CutFromSomeControls(Process* edge) {
+  m_state->ledger.BeginFault(edge->node, false, "cut from some controls");
+  const std::uint64_t parity = m_change_random() % 2;
+  const auto set = [this, edge, parity](bool is_cut) {
+    LinkFault fault;
+    fault.is_cut = is_cut;
+    for (const std::uint32_t control : m_state->controls) {
+      if (control % 2 != parity) continue;
+      m_relay.SetFault(control, edge->node, fault);
+      m_relay.SetFault(edge->node, control, fault);
+    }
+  };
+  set(true);
+  Schedule(RandomSpan(4000, 6000), [this, edge, set] {
+    set(false);
+    m_state->ledger.EndFault(edge->node, false);
+  });
+}
+
 // Partitions the control nodes into two halves; all other nodes reach both.
 void System::SplitControls() {
   const auto& controls = m_state->controls;
@@ -369,6 +390,7 @@
   const std::uint64_t draw = m_random() % 16;
   Process* control = PickProcess(true);
   Process* edge = PickProcess(false);
+  if (edge != nullptr && m_change_random() % 2 == 0) CutFromSomeControls(edge);
   if (draw == 0 && edge != nullptr) return Kill(edge, false);
   if (draw == 1 && control != nullptr) return Kill(control, false);
   if (draw == 2 && control != nullptr && CanLoseDisk()) {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -49,8 +49,9 @@
   ~System();
 
   void Start();
-  // Injects one random fault or planned operation and changes a target. Some
-  // faults continue in the background and overlap with later ones.
+  // Injects one random fault or planned operation, changes a target, and at
+  // times keeps news from a balancer. Some faults continue in the background
+  // and overlap with later ones.
   void InjectFault();
   // Ends all faults and restarts what is down.
   void ClearFaults();
@@ -98,6 +99,7 @@
   void Terminate(Process* process);
   void Freeze(Process* process);
   void Isolate(Process* process, bool one_way);
+  void CutFromSomeControls(Process* edge);
   void SplitControls();
   void DegradeLinks();
   void FillDisk(Process* process);
--- a/tests/soak_ledger_test.cc
+++ b/tests/soak_ledger_test.cc
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(CatchesAResetAfterAFault);
   CPPUNIT_TEST(AllowsAResetOfAFlowWhoseTargetIsDown);
   CPPUNIT_TEST(TellsStartsOfOneTargetApart);
+  CPPUNIT_TEST(CatchesAResetOfAFlowWithoutARoute);
+  CPPUNIT_TEST(CatchesPacketsAtOtherTargetsInPlaceOfTheOwn);
   CPPUNIT_TEST(CatchesANewFlowInAnEvacuatedDataCentre);
   CPPUNIT_TEST(RequiresEvacuationsAfterFaultsOfTheBalancer);
   CPPUNIT_TEST(CatchesABalancerThatStartsWithoutTheEvacuation);
@@ -84,9 +86,9 @@
   // version is enforced only after kConfigApplyLimit.
   void CatchesAResetOfAnOpenFlow() {
     m_ledger.SkipTime(kStableTime + kConfigApplyLimit);
-    m_ledger.OnReset(5, false, kEdge, kService, "not open");
+    m_ledger.OnReset(5, false, kEdge, "not open");
     AssertViolation(false);
-    m_ledger.OnReset(5, true, kEdge, kService, "open");
+    m_ledger.OnReset(5, true, kEdge, "open");
     AssertViolation(true);
   }
   // No fault justifies it: only the flow's own target may reset it then.
@@ -103,13 +105,13 @@
   void CatchesAResetAfterAFault() {
     m_ledger.SkipTime(kStableTime + kConfigApplyLimit);
     m_ledger.RecordFault(kEdge, false, "kill");
-    m_ledger.OnReset(5, true, kEdge, kService, "open");
+    m_ledger.OnReset(5, true, kEdge, "open");
     AssertViolation(true);
   }
   void AllowsAResetOfAFlowWhoseTargetIsDown() {
     m_ledger.SkipTime(kStableTime + kConfigApplyLimit);
     m_ledger.OnTargetDown(6);
-    m_ledger.OnReset(6, true, kEdge, kService, "its target is down");
+    m_ledger.OnReset(6, true, kEdge, "its target is down");
     AssertViolation(false);
   }
   // A target that starts again under its number gets another id: neither the
@@ -122,10 +124,43 @@
     m_ledger.OnTargetDown(kEarlier);
     m_ledger.SkipTime(kStableTime + kDrainLimit);
     m_ledger.OnOpened(kLater, "orders", kService, kEdge, SteadyNow());
-    m_ledger.OnReset(kEarlier, true, kEdge, kService, "ended");
+    m_ledger.OnReset(kEarlier, true, kEdge, "ended");
     m_ledger.OnResetByOtherTarget(kEarlier, "ended");
     AssertViolation(false);
-    m_ledger.OnReset(kLater, true, kEdge, kService, "the later one lives");
+    m_ledger.OnReset(kLater, true, kEdge, "the later one lives");
+    AssertViolation(true);
+  }
+  // Balancers may know an older version than the one under which it opened.
+  void CatchesAResetOfAFlowWithoutARoute() {
+    m_ledger.OnSent(3, "three", {});
+    m_ledger.OnAccepted(3);
+    m_ledger.SkipTime(kStableTime + kConfigApplyLimit);
+    m_ledger.OnReset(5, true, kEdge, "its route is removed");
+    AssertViolation(true);
+  }
+  // Copies are allowed, packets that wait at a paused target count for it, and
+  // an ended target needs none.
+  void CatchesPacketsAtOtherTargetsInPlaceOfTheOwn() {
+    const FlowEnds flow{*Endpoint::Parse("127.0.4.1:1024"), kService};
+    const auto stray = [&] {
+      for (int i = 0; i < kStrayPacketLimit; ++i) {
+        m_ledger.OnStrayPacket(flow);
+        m_ledger.SkipTime(kStrayTimeLimit / 2);
+      }
+    };
+    m_ledger.OnOwnPacket(flow, 5);
+    m_ledger.OnPaused(5);
+    stray();
+    m_ledger.OnContinued(5);
+    m_ledger.OnOwnPacket(flow, 5);
+    m_ledger.OnStrayPacket(flow);
+    m_ledger.SkipTime(kStrayTimeLimit);
+    m_ledger.OnOwnPacket(flow, 6);
+    m_ledger.OnTargetDown(6);
+    stray();
+    AssertViolation(false);
+    m_ledger.OnOwnPacket(flow, 5);
+    stray();
     AssertViolation(true);
   }
   // Only the order of that data centre counts, and only until its finish.
