Soak: known seeds draw the same faults as before

RandomSpan() for targets and for cuts from some control VMs still drew from the generator of the faults, so every change of a target shifted the faults that followed. They draw from the other generator now, and those draws that Start() made for targets are skipped.

--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -85,6 +85,8 @@
   });
   const auto targets = static_cast<std::size_t>(m_settings.targets);
   m_targets.resize(targets + targets / kPlacesPerFreePlace + 1);
+  // Targets once drew from here; keeps the faults of the known seeds.
+  m_random.discard(2 * targets);
   for (std::size_t place = 0; place < targets; ++place) {
     AddTarget(place, NewIdentity(place));
   }
@@ -176,8 +178,12 @@
 }
 
 Duration System::RandomSpan(int from_ms, int to_ms) {
+  return RandomSpan(from_ms, to_ms, &m_random);
+}
+
+Duration System::RandomSpan(int from_ms, int to_ms, std::mt19937_64* random) {
   const auto span = static_cast<std::uint64_t>(to_ms - from_ms);
-  return milliseconds(from_ms + static_cast<int>(m_random() % span));
+  return milliseconds(from_ms + static_cast<int>((*random)() % span));
 }
 
 void System::Schedule(Duration delay, std::function<void()> action) {
@@ -268,7 +274,7 @@
     }
   };
   set(true);
-  Schedule(RandomSpan(4000, 6000), [this, edge, set] {
+  Schedule(RandomSpan(4000, 6000, &m_change_random), [this, edge, set] {
     set(false);
     m_state->ledger.EndFault(edge->node, false);
   });
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -92,6 +92,7 @@
                       Duration delay);
   Process* PickProcess(bool is_control);
   Duration RandomSpan(int from_ms, int to_ms);
+  static Duration RandomSpan(int from_ms, int to_ms, std::mt19937_64* random);
   void Schedule(Duration delay, std::function<void()> action);
   bool CanLoseDisk() const;
 
@@ -114,7 +115,8 @@
   SoakSettings m_settings;
   SoakState* m_state;
   std::mt19937_64 m_random;
-  std::mt19937_64 m_change_random;  // For changes of targets.
+  // For targets and what comes with each fault.
+  std::mt19937_64 m_change_random;
   asio::io_context m_context;
   PeerRelay m_relay;
   std::map<std::uint32_t, std::unique_ptr<CallRelay>> m_call_relays;
--- a/soak/plan_targets.cc
+++ b/soak/plan_targets.cc
@@ -31,13 +31,13 @@
   const std::uint64_t number = 0x100000 + ++m_last_target;
   if (place < kSteadyPlaces) return {number, place == 0 ? "gallery" : "orders"};
   // An address is sometimes reused by a target of another service.
-  return {number, m_random() % 4 == 0 ? "gallery" : "orders"};
+  return {number, m_change_random() % 4 == 0 ? "gallery" : "orders"};
 }
 
 void System::AddTarget(std::size_t place, const TargetIdentity& identity) {
   m_targets[place] = std::make_unique<TargetActor>(
       m_state, identity.number, identity.pool, AddressOfTarget(place),
-      DataCentreName(place), m_random());
+      DataCentreName(place), m_change_random());
 }
 
 void System::ChangeTarget() {
@@ -62,13 +62,15 @@
   if (is_same) {
     const std::size_t next = PickPlaceAfter(place);
     ScheduleTarget(next, identity,
-                   is_crash ? RandomSpan(100, 2000) : RandomSpan(7000, 9000));
+                   is_crash ? RandomSpan(100, 2000, &m_change_random)
+                            : RandomSpan(7000, 9000, &m_change_random));
     if (next == place) return;
   }
   // The places that were free at the start become free again.
   if (place >= static_cast<std::size_t>(m_settings.targets)) return;
   ScheduleTarget(place, NewIdentity(place),
-                 is_crash ? RandomSpan(2100, 4000) : RandomSpan(7000, 9000));
+                 is_crash ? RandomSpan(2100, 4000, &m_change_random)
+                          : RandomSpan(7000, 9000, &m_change_random));
 }
 
 // Returns where the target at `place` starts again: there or at a free place.
@@ -101,7 +103,8 @@
   const bool ends_soon =
       !m_state->is_healing && m_change_random() % kEarlyEndInterval == 0;
   if (!ends_soon) return;
-  Schedule(RandomSpan(300, 2500), [this, place] { ChangeTarget(place); });
+  Schedule(RandomSpan(300, 2500, &m_change_random),
+           [this, place] { ChangeTarget(place); });
 }
 
 }  // namespace sardinelead::soak
