--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -19,6 +19,7 @@
 
 constexpr std::uint16_t kInternalPort = 7720;
 constexpr std::uint64_t kMaxDescriptors = 4096;  // Of a balancer.
+constexpr std::size_t kPlacesPerFreePlace = 4;   // Of targets.
 
 std::string Text(std::uint32_t node) {
   return IpAddress::FromV4(node).ToString();
@@ -42,6 +43,7 @@
     : m_settings(settings),
       m_state(world),
       m_random(settings.seed),
+      m_change_random(settings.seed + 2),
       m_relay(&m_context, kInternalPort, settings.seed) {
   const auto base = static_cast<std::uint32_t>(127U << 24) |
                     static_cast<std::uint32_t>(settings.network) << 16;
@@ -81,9 +83,12 @@
     const auto work = asio::make_work_guard(m_context);
     m_context.run();
   });
-  for (int i = 0; i < m_settings.targets; ++i) {
-    m_targets.emplace_back();
-    AddTarget(static_cast<std::size_t>(i));
+  const auto targets = static_cast<std::size_t>(m_settings.targets);
+  m_targets.resize(targets + targets / kPlacesPerFreePlace + 1);
+  // Targets once drew from here; keeps the faults of the known seeds.
+  m_random.discard(2 * targets);
+  for (std::size_t place = 0; place < targets; ++place) {
+    AddTarget(place, NewIdentity(place));
   }
 }
 
@@ -173,8 +178,12 @@
 }
 
 Duration System::RandomSpan(int from_ms, int to_ms) {
+  return RandomSpan(from_ms, to_ms, &m_random);
+}
+
+Duration System::RandomSpan(int from_ms, int to_ms, std::mt19937_64* random) {
   const auto span = static_cast<std::uint64_t>(to_ms - from_ms);
-  return milliseconds(from_ms + static_cast<int>(m_random() % span));
+  return milliseconds(from_ms + static_cast<int>((*random)() % span));
 }
 
 void System::Schedule(Duration delay, std::function<void()> action) {
@@ -250,6 +259,27 @@
   });
 }
 
+// A balancer that hears only half of the control nodes knows some targets, and
+// does not learn of the starts and ends of others.
+void System::CutFromSomeControls(Process* edge) {
+  m_state->ledger.BeginFault(edge->node, false, "cut from some controls");
+  const std::uint64_t parity = m_change_random() % 2;
+  const auto set = [this, edge, parity](bool is_cut) {
+    LinkFault fault;
+    fault.is_cut = is_cut;
+    for (const std::uint32_t control : m_state->controls) {
+      if (control % 2 != parity) continue;
+      m_relay.SetFault(control, edge->node, fault);
+      m_relay.SetFault(edge->node, control, fault);
+    }
+  };
+  set(true);
+  Schedule(RandomSpan(4000, 6000, &m_change_random), [this, edge, set] {
+    set(false);
+    m_state->ledger.EndFault(edge->node, false);
+  });
+}
+
 // Partitions the control nodes into two halves; all other nodes reach both.
 void System::SplitControls() {
   const auto& controls = m_state->controls;
@@ -362,9 +392,11 @@
 }
 
 void System::InjectFault() {
+  ChangeTarget();
   const std::uint64_t draw = m_random() % 16;
   Process* control = PickProcess(true);
   Process* edge = PickProcess(false);
+  if (edge != nullptr && m_change_random() % 2 == 0) CutFromSomeControls(edge);
   if (draw == 0 && edge != nullptr) return Kill(edge, false);
   if (draw == 1 && control != nullptr) return Kill(control, false);
   if (draw == 2 && control != nullptr && CanLoseDisk()) {
@@ -462,8 +494,9 @@
     later.action();
   }
   m_relay.Clear();
-  for (std::size_t place = 0; place < m_targets.size(); ++place) {
-    AddSuccessor(place);
+  const auto targets = static_cast<std::size_t>(m_settings.targets);
+  for (std::size_t place = 0; place < targets; ++place) {
+    if (m_targets[place] == nullptr) AddSuccessor(place, NewIdentity(place));
   }
 }
 
