--- a/include/sardinelead/cookie_balancer.h
+++ b/include/sardinelead/cookie_balancer.h
@@ -366,7 +366,8 @@
   Forwarding ForwardOpening(const FlowPacket& packet, TimePoint now);
   void RecordOpening(const FlowPacket& packet,
                      const TargetDirectory::Entry& entry, TimePoint now);
-  Forwarding ForwardCopy(const FlowPacket& packet, Flow* flow, TimePoint now);
+  Forwarding ForwardOpeningCopy(const FlowPacket& packet, Flow* flow,
+                                TimePoint now);
   Forwarding ForwardEstablished(const FlowPacket& packet, TimePoint now);
   static PacketCopy CopyFor(const TargetDirectory::Location& location,
                             const TargetDirectory::Location& occupant);
--- a/src/cookie_balancer.cc
+++ b/src/cookie_balancer.cc
@@ -162,7 +162,7 @@
   const auto found = m_flows.find(packet.flow);
   const bool is_placed = found != m_flows.end() &&
                          found->second.opening_sequence == packet.sequence;
-  if (is_placed) return ForwardCopy(packet, &found->second, now);
+  if (is_placed) return ForwardOpeningCopy(packet, &found->second, now);
   if (packet.is_copy) return Drop(packet, ForwardReason::kUnplacedCopy);
   RemoveFlow(packet.flow);  // An earlier flow with the same addresses.
   const Route& route = *m_routes.Find(packet.flow.service);
@@ -210,8 +210,8 @@
 }
 
 // Forwards an opening packet of a flow that was placed here before.
-Forwarding CookieBalancer::ForwardCopy(const FlowPacket& packet, Flow* flow,
-                                       TimePoint now) {
+Forwarding CookieBalancer::ForwardOpeningCopy(const FlowPacket& packet,
+                                              Flow* flow, TimePoint now) {
   flow->seen_at = now;
   const TargetDirectory::Entry* entry = m_directory->Find(flow->target);
   const bool is_same_process =
