--- a/include/sardinelead/target_directory.h
+++ b/include/sardinelead/target_directory.h
@@ -139,11 +139,11 @@
   // Returns nothing if the cookie is not known. If several targets share it,
   // prefers one that is at the address and has not ended. Cost: one lookup.
   std::optional<Location> FindByCookie(std::uint32_t cookie) const;
-  // Returns the process that would take or reset the flows of this location, as
-  // far as the announced start times tell: the latest other target of a
-  // configured pool that started there later, else the target where it started
-  // last, which may be this location. Start times are by the clocks of the
-  // targets' VMs, so another process than this may be the one that exists.
+  // Returns the process that would take or reset the flows of this location, by
+  // the announced start times: the latest other target of a configured pool
+  // that started there later, else the target where it started last, which may
+  // be this location. Start times are by the clocks of the targets' VMs, so
+  // another process than this may be the one that exists.
   Location FindOccupant(const Location& location) const;
 
  private:
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -259,8 +259,8 @@
   });
 }
 
-// A balancer that hears only half of the control nodes knows some targets, and
-// does not learn of the starts and ends of others.
+// A balancer that reaches only half of the control nodes knows some targets,
+// and does not learn of the starts and ends of others.
 void System::CutFromSomeControls(Process* edge) {
   m_state->ledger.BeginFault(edge->node, false, "cut from some controls");
   const std::uint64_t parity = m_change_random() % 2;
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -50,8 +50,8 @@
 
   void Start();
   // Injects one random fault or planned operation, changes a target, and at
-  // times keeps news from a balancer. Some faults continue in the background
-  // and overlap with later ones.
+  // times cuts a balancer off from some control nodes. Some faults continue in
+  // the background and overlap with later ones.
   void InjectFault();
   // Ends all faults and restarts what is down.
   void ClearFaults();
--- a/soak/plan_targets.cc
+++ b/soak/plan_targets.cc
@@ -16,7 +16,7 @@
 // The targets at the first places, one of each pool, never end.
 constexpr std::size_t kSteadyPlaces = 2;
 // One later start in this many ends soon, so that the clocks of two starts at
-// one address or of one number can tell the wrong order.
+// one address or of one number can give the wrong order.
 constexpr std::uint64_t kEarlyEndInterval = 3;
 
 }  // namespace
--- a/tests/target_directory_test.cc
+++ b/tests/target_directory_test.cc
@@ -158,10 +158,10 @@
       // Packets that are held for either are retried.
       CPPUNIT_ASSERT(directory.revision() > revision);
       CPPUNIT_ASSERT(directory.Find(1)->announcement.started_ms == 300);
-      for (const TargetAnnouncement& news : {first, second}) {
-        const auto location = directory.FindByCookie(CookieOf(news));
-        CPPUNIT_ASSERT(location->address == news.address);
-        CPPUNIT_ASSERT_EQUAL(news.started_ms, location->started_ms);
+      for (const TargetAnnouncement& announcement : {first, second}) {
+        const auto location = directory.FindByCookie(CookieOf(announcement));
+        CPPUNIT_ASSERT(location->address == announcement.address);
+        CPPUNIT_ASSERT_EQUAL(announcement.started_ms, location->started_ms);
         CPPUNIT_ASSERT(directory.FindOccupant(*location).address ==
                        second.address);
       }
@@ -183,15 +183,17 @@
 
   // Guards against unbounded memory for a target that moves again and again.
   void KeepsAFewAddresses() {
-    TargetAnnouncement news = MakeNews(1, 1, 1, "10.0.0.1:80");
-    const std::uint32_t first = CookieOf(news);
-    for (; news.started_ms <= 100; ++news.started_ms, ++news.address.port) {
-      m_directory.Take(news, m_now);
+    TargetAnnouncement announcement = MakeNews(1, 1, 1, "10.0.0.1:80");
+    const std::uint32_t first = CookieOf(announcement);
+    for (; announcement.started_ms <= 100;
+         ++announcement.started_ms, ++announcement.address.port) {
+      m_directory.Take(announcement, m_now);
     }
     CPPUNIT_ASSERT(m_directory.Find(1)->other_addresses.size() <= 8);
     CPPUNIT_ASSERT(!m_directory.FindByCookie(first));
-    news.address.port -= 2;
-    CPPUNIT_ASSERT(m_directory.FindByCookie(CookieOf(news)).has_value());
+    announcement.address.port -= 2;
+    CPPUNIT_ASSERT(
+        m_directory.FindByCookie(CookieOf(announcement)).has_value());
   }
 
   void DelayedNewsDoesNotReviveAnEndedTarget() {
