review: case 6, a large configuration reaches no edge that starts

Cause: the feed sends a starting edge the route table in one message, and the link drops messages above 300,000 bytes without an error, while configurations up to 4 MiB are acknowledged.

--- a/review/deploy-2.sh
+++ b/review/deploy-2.sh
@@ -2,6 +2,7 @@
 # file as a small deployment on loopback addresses, and ends them.
 #
 #   start_deployment CONTROLS EDGES   sets NET, such as 127.90.7.
+#   restart_deployment   kills all processes at once and starts them again
 #   stop_deployment
 
 ROOT="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
@@ -48,10 +49,10 @@
   edge="$(command_of edge)"
   for ((i = 0; i < $1; ++i)); do
     mkdir -p "$WORK/data-$i"
-    settings "core-$i" control "${NET}$((11 + i))" "${zones[i]}" \
+    settings "control-$i" control "${NET}$((11 + i))" "${zones[i]}" \
       "{\"control\":\"${NET}$((11 + i)):8166\"}" "\"$WORK/data-$i\"" true \
-      >"$WORK/core-$i.json"
-    start_program "core-$i" "$control"
+      >"$WORK/control-$i.json"
+    start_program "control-$i" "$control"
   done
   for ((i = 0; i < $2; ++i)); do
     settings "edge-$i" edge "${NET}$((21 + i))" "${zones[i]}" \
@@ -66,14 +67,29 @@
   done
 }
 
-stop_deployment() {
+kill_programs() {
   local pid
   for pid in "${PIDS[@]}"; do
-    kill -CONT "$pid" 2>/dev/null
     kill -KILL "$pid" 2>/dev/null
   done
   for pid in "${PIDS[@]}"; do
     while kill -0 "$pid" 2>/dev/null; do sleep 0.05; done
   done
+  PIDS=()
+}
+
+stop_deployment() {
+  kill_programs
   rm -rf "$WORK"
 }
+
+# The disks are kept; "bootstrap" is true only at the first start.
+restart_deployment() {
+  local file name
+  kill_programs
+  for file in "$WORK"/*.json; do
+    name="$(basename "$file" .json)"
+    sed -i 's/"bootstrap":true/"bootstrap":false/' "$file"
+    start_program "$name" "$(command_of "${name%-*}")"
+  done
+}
--- a/review/standin-2.h
+++ b/review/standin-2.h
@@ -583,11 +583,12 @@
 // Sends a configuration to one control VM after the other until it is
 // acknowledged; returns whether it was.
 inline bool Replace(const Net& net, Record* record, int version,
-                    const std::string& text, double limit_ms = 10000) {
+                    const std::string& text, double limit_ms = 10000,
+                    int answer_ms = 1000) {
   const double until = NowMs() + limit_ms;
   for (int i = 0; NowMs() < until; ++i) {
     const int status = Http(net.Control(i % net.controls), net.control_port,
-                            "POST", "/config/replace", text);
+                            "POST", "/config/replace", text, nullptr, answer_ms);
     record->Line("operator: version %d at control %d: %d", version,
                  i % net.controls, status);
     if (status == 200) return true;
