--- a/review/7/play-2.cc
+++ b/review/7/play-2.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr double kDowngradeMs = 250;
+constexpr double kRoomAfterMs = 400;
 constexpr std::uint16_t kRoutePort = 8080;
 constexpr std::size_t kMaxConns = 2000;
 constexpr int kFirstHeldPort = 20001;
@@ -74,6 +75,7 @@
   constexpr std::uint16_t kLatePort = 40010;
   review::Client::Result late;
   std::string late_answer;
+  const double late_begin = NowMs();
   std::thread late_flow([&] {
     late = client.Open(edge, kLatePort);
     if (late.is_open) late_answer = client.Request(edge, kLatePort, "late");
@@ -91,7 +93,8 @@
       if (client.Open(edge, port).is_open) client.Request(edge, port, "other");
     });
   }
-  // One of the flows at the full host ends.
+  // One of the flows at the full host ends between the two copies.
+  review::SleepUntilMs(late_begin + kRoomAfterMs);
   client.Close(edge, kFirstHeldPort);
   late_flow.join();
   for (std::thread& other : others) other.join();
